Count own latency as delay where a server's reported queue is empty

So the pool's delay stood at 0.00 to 0.05 T1 while the median answer of gateway n1 went from 20 to 106 ms, its limit grew from 8 to 82 in flight, and it never spilled. Ruled out: the sockets (256 us at the 99th percentile from a host's answer to the client), the gateway's CPU (0.13 s in its worst second).

The hosts work on all requests in their slots at once; a queue is reported only after all slots are taken. decide.py took a report of 0 for a delay of 0 and fell back on own latency only without any report, as if 'delay < 0' could tell an empty queue from an unknown one. It now falls back where the report names no queue.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -55,7 +55,7 @@
 
 # Pools: the own zone and the rest, each with a q_avg over all its servers.
 POOL_T1 = SECOND // 2  # the paper's T1: a pool's delays are counted in T1 and kept in this unit
-SPILL_FROM = 0.1     # excess of the near pool's delay over the far pool's, in T1, at which spill begins
+SPILL_FROM = 0.2     # excess of the near pool's delay over the far pool's, in T1, at which spill begins
 SPILL_RANGE = 0.2    # and so much further all spill
 POOL_MAX = 1.0       # one answer counts T1 at most
 
@@ -390,8 +390,10 @@
             cls.usual += weight * (sample - cls.usual)
         server.ratio += RATIO_W * (min(sample / cls.mean, RATIO_MAX) - server.ratio)
         delay = self._reported_delay(server, spent, load)
-        if delay < 0:
-            # Not cut at zero: work varies as much as delay does, and only a mean around zero says so.
+        if delay <= 0:
+            # An empty queue says little where a server works on many requests at once: it is empty until all
+            # of its slots are taken, and each of them has become slow by then.  Not cut at zero: work varies
+            # as much as delay does, and only a mean around zero says so.
             delay = (sample - cls.usual) * unit
         self._note(server, delay, request.t1, now, failed=False)
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -321,3 +321,22 @@
     settle(quick, 60, 20 * MS)
     quick.request()
     assert quick.sends[-1][2] == 300 * MS
+
+
+def test_a_crowded_zone_whose_servers_report_an_empty_queue_is_noticed() -> None:
+    """Servers that share their cores between many requests report no queue while all answers are late."""
+    gateway = Gateway(some_settings(zones=2, report_fields=("queue", "service_ms"), report_inline=True),
+                      [entry(f"h{number}", zone=number % 2) for number in range(8)])
+    settled = 0
+    for turn in range(300):
+        rid = gateway.request()
+        gateway.run(gateway.now + 10 * MS)
+        if gateway.held[rid].out:
+            host = gateway.held[rid].out[0]
+            crowded = turn >= 100 and gateway.hosts[host].zone == 0
+            gateway.outcome(rid, Outcome.OK, spent_ns=(250 if crowded else 20) * MS, load=(0.0, 20.0))
+        if turn == 200:
+            settled = len(gateway.sends)
+    zones = [gateway.hosts[host].zone for _, host, _ in gateway.sends[settled:]]
+    assert zones.count(1) > len(zones) / 2
+    assert not gateway.broken
