Follow discovery to its new address on SIGHUP instead of ending

The module is not told of a failure, since it would wait before it asks again. A file that can't be read changes nothing.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -51,7 +51,8 @@
 
     def __init__(self, environ: Mapping[str, str]) -> None:
         try:
-            with open(environ["EDGE_CONFIG"], "rb") as file:
+            self.path = environ["EDGE_CONFIG"]
+            with open(self.path, "rb") as file:
                 told: dict[str, Any] = json.load(file)
             self.listen = _address(environ.get("EDGE_LISTEN") or told["listen"])
             self.discovery = _address(environ.get("EDGE_DISCOVERY") or told["discovery"])
@@ -137,6 +138,7 @@
 
     async def run(self) -> None:
         """Serve until told to stop."""
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)   # first: its default ends the program
         await self.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.stop)
@@ -149,6 +151,16 @@
         self.server.sweep(now)
         self.timers.after(SWEEP, self._sweep, None)
 
+    def reload(self) -> None:
+        """SIGHUP: discovery may have moved; a file that can't be read changes nothing."""
+        try:   # the file alone: what the environment says of discovery is from the start
+            told = Config({"EDGE_CONFIG": self._config.path})
+        except BadConfig as error:
+            log.warning("SIGHUP: the configuration stays as it was: %s", error)
+            return
+        log.info("SIGHUP: discovery is at %s:%d", *told.discovery)
+        self.discovery.move(told.discovery)
+
     def stop(self) -> None:
         """SIGTERM: unready at once, but what crosses it on the way is still taken and answered."""
         if self._stop_at:
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -200,6 +200,23 @@
         if self._fetch is None:
             self._fetch = self._call(False)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """Discovery is elsewhere now: its calls end there and begin here, a watch at once and from the start.
+
+        The module is told nothing: it would wait before it asks again, and versions may be counted anew.
+        """
+        if address == self._address:
+            return
+        self._address = address
+        self.authority = f"{address[0]}:{address[1]}"
+        self.generation = 0
+        self._pause = BACKOFF_FIRST
+        self.watch(False)
+        self.watch(True)
+        if self._fetch is not None:
+            self._fetch.close()
+            self._fetch = self._call(False)
+
     def _call(self, watch: bool) -> _Call:
         call = _Call(self, watch)
         call.task = self._loop.create_task(self._connect(call))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -154,3 +154,29 @@
             assert (await client.ask(request(rid="r2")))[0] == 200
             assert (await other.seen.get()).headers["x-request-id"] == "r2"
     play(scene)
+
+
+def test_a_moved_discovery_gets_the_calls_and_the_old_one_is_left() -> None:
+    async def scene() -> None:
+        heard = Heard()
+        old, discovery = await heard.start()
+        discovery.watch(True)
+        discovery.fetch()
+        left = [await old.calls.get() for _ in range(2)]
+        new = await FakeDiscovery().start()
+        host, _, port = new.address.rpartition(":")
+        discovery.move((host, int(port)))
+        calls = dict([await new.calls.get() for _ in range(2)])
+        assert sorted(first.split()[1] for first in calls) == [
+            "/registry/instances", "/registry/instances?watch=1&from=0"]
+        for _, writer in left:
+            async def poke(writer: asyncio.StreamWriter = writer) -> None:
+                writer.write(b" ")
+                await asyncio.sleep(0)
+            await until(writer.is_closing, poke)   # nobody reads there any more
+        writer = next(writer for first, writer in calls.items() if "watch" in first)
+        new.head(writer)
+        new.line(writer, 3, [ROW], reset=True)
+        assert (await heard.told.get())[0] is ListKind.FULL
+        discovery.close()
+    play(scene)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -123,3 +123,34 @@
         client.writer.close()
         assert await program.wait() == 0
     play(scene)
+
+
+def test_sighup_moves_to_the_discovery_that_the_file_names(tmp_path: Path) -> None:
+    """The program ended on SIGHUP."""
+    async def scene() -> None:
+        old, new = await FakeHost("h0").start(), await FakeHost("h1").start()
+        first, second = await FakeDiscovery().start(), await FakeDiscovery().start()
+        config = write_config(tmp_path / "c", first, old)
+        program, where = await launch(tmp_path / "c")
+        client = await connect(where)
+        assert (await client.ask(request()))[0] == 200
+        moved = json.dumps({**config, "discovery": second.address})
+        for text in ("{", moved):   # a broken file changes nothing
+            (tmp_path / "c").write_text(text)
+            program.send_signal(signal.SIGHUP)
+            assert program.stderr is not None
+            line = b""
+            while b"SIGHUP" not in line:
+                line = await program.stderr.readline()
+                assert line, "the program has ended"
+        _, writer = await second.calls.get()
+        second.head(writer)
+        second.line(writer, 1, [new.row()], reset=True)
+        number = 0
+        while new.seen.empty():
+            number += 1
+            assert (await client.ask(request(rid=f"n{number}")))[0] == 200
+        client.writer.close()
+        program.send_signal(signal.SIGTERM)
+        assert await program.wait() == 0
+    play(scene)
