--- a/gateway/server.py
+++ b/gateway/server.py
@@ -23,8 +23,13 @@
 MAX_HEADERS = 100
 PIPELINED = 8
 """Requests of one connection that are worked on at once; past that it is read no further."""
+ARRIVE = 2 * SECOND
+"""Longest time for a request to arrive, the first counted from connecting.
+
+Whoever sends nothing that could be answered is owed an error or a close within 3 s.
+"""
 SLOW = 10 * SECOND
-"""Longest time for a request to arrive, and for a client to take its answer."""
+"""Longest time for a client to take its answer."""
 SPARE = 16
 """Connections above the bound that are still told, by a refusal, that there is no room."""
 IDLE = 90 * SECOND
@@ -202,6 +207,7 @@
         self._ended = False      # the client has ended its sending
         self._paused = False
         self.since = now_ns()    # when what is being waited for began
+        self._asked = False      # a whole request has come
         self.lingering = False
         self.surplus = False     # there was no room for it: its request is refused unsent
         self._stuck_since = 0
@@ -232,8 +238,6 @@
     def data_received(self, data: bytes) -> None:
         if self.deaf:
             return
-        if not self._in_message:
-            self.since = now_ns()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -270,6 +274,8 @@
     def on_message_begin(self) -> None:
         self._start()
         self._in_head = self._in_message = True
+        if self._asked:   # else its time began when it connected
+            self.since = now_ns()
 
     def on_url(self, url: bytes) -> None:
         self._target += url
@@ -311,6 +317,7 @@
         self._in_message = False
         if self._error is not None or self.deaf:
             return
+        self._asked = True
         close = not self._parser.should_keep_alive()
         self.deaf = close
         exchange = Exchange(self, close)
@@ -389,9 +396,9 @@
         elif self.lingering:
             if waited > LINGER:
                 self.transport.abort() if self._stuck_since else self.transport.close()
-        elif self._in_message and not self.deaf and waited > SLOW:
+        elif self._in_message and not self.deaf and waited > ARRIVE:
             self._reject(BadRequest(408, "the request was too slow"))
-        elif self.between_requests() and waited > IDLE:
+        elif self.between_requests() and waited > (IDLE if self._asked else ARRIVE):
             self.transport.close()
 
     def close_if_idle(self) -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -11,7 +11,7 @@
 import pytest
 
 from bridgesaddle.api import MS, SECOND, Actions, HostId, Outcome, Settings
-from gateway.server import IDLE, SLOW
+from gateway.server import IDLE
 from gateway.timers import now_ns
 from tests.sockets import OK, SETTINGS, FakeHost, Stage, play, request, until
 
@@ -327,15 +327,41 @@
         async with Stage() as stage:
             await stage.begin(FakeHost())
             slow, idle = await stage.client(), await stage.client()
+            assert (await idle.ask(request()))[0] == 200
             slow.send(b"GET /read/x HTTP/1.1\r\nX-Request-ID")
             await until(lambda: stage.gateway.server.open == 2 and stage.gateway.server.reading == 1)
-            stage.gateway.server.sweep(now_ns() + SLOW + SECOND)
+            stage.gateway.server.sweep(now_ns() + 2500 * MS)
             assert (await slow.answer())[0] == 408
             stage.gateway.server.sweep(now_ns() + IDLE + SECOND)
             assert await idle.reader.read() == b""
     play(scene)
 
 
+@pytest.mark.parametrize("begun", [b"", b"\r\n", b"GET /read/x HTTP/1.1\r\nX-Request-ID",
+                                   b"POST /keyed/x HTTP/1.1\r\nContent-Length: 9\r\n\r\nfour"])
+def test_a_peer_without_a_proper_request_is_told_or_closed_within_three_seconds(begun: bytes) -> None:
+    """Silent ones were kept for 90 s and slow ones for 10 s, and each held a descriptor."""
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost())
+            peer = await stage.client()
+            await until(lambda: stage.gateway.server.open == 1)
+            connected = now_ns()
+            peer.send(begun)
+            if len(begun) > 2:
+                await until(lambda: stage.gateway.server.reading == 1)
+            (conn,) = stage.gateway.server._connections
+            stage.gateway.server.sweep(connected + 2500 * MS)   # swept twice a second
+            assert conn.transport is not None
+            assert conn.deaf or conn.transport.is_closing()     # at once, not by a later sweep
+            try:
+                told = await peer.reader.read()
+            except ConnectionResetError:   # closed before what came was read
+                told = b""
+            assert told.startswith(b"HTTP/1.1 408" if len(begun) > 2 else b"")
+    play(scene)
+
+
 def test_too_many_connections_are_told_so() -> None:
     async def scene() -> None:
         async with Stage() as stage:
