Ask a silent or failed discovery again before its news counts as told

Whatever discovery has to tell counts as told 6 s later, arrived or not, and a send to a drained host 300 ms after that breaks a rule. A silent watch was given up after 5 s, a call unanswered after 8 s, and the back-off grew to 7.5 s. Now 3 s (one beat missed and half of one more), 4 s, and 3 s.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -91,7 +91,7 @@
 
 # Discovery.
 ASK_SPREAD = 0.25    # first call: within this share of ask-within, at random, so that gateways do not queue
-ASK_MAX = 0.5        # longest back-off, as a share of ask-within
+ASK_MAX = 0.2        # longest back-off, as a share of ask-within: news counts as told after 0.6 of it
 ASK_FIRST = 0.1      # first back-off, as a share of ask-within
 
 
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -20,9 +20,12 @@
 
 BEAT = 2 * SECOND
 """An empty line comes so often while nothing changes."""
-SILENT = 5 * SECOND
-"""A watch that has been silent so long is dead: two beats missed and half of one more."""
-CALL = 8 * SECOND
+SILENT = 3 * SECOND
+"""A watch that has been silent so long is dead: one beat missed and half of one more.
+
+What discovery has to tell counts as told 6 s later at the latest, so the next watch must have spoken by then.
+"""
+CALL = 4 * SECOND
 """Longest wait for the first line: calls wait their turn at a discovery that serves all gateways."""
 CONNECT = 2 * SECOND
 """Longest wait for the connection itself."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -340,3 +340,19 @@
     zones = [gateway.hosts[host].zone for _, host, _ in gateway.sends[settled:]]
     assert zones.count(1) > len(zones) / 2
     assert not gateway.broken
+
+
+def test_discovery_that_fails_is_asked_again_before_its_news_counts_as_told() -> None:
+    """The pause grew to three quarters of the time to ask within: drains went unnoticed for too long."""
+    gateway = Gateway(some_settings(ask_discovery=True), [entry("h")])
+    within = gateway.settings.rules.ask_within_ns
+    asked: list[int] = []
+    for _ in range(12):
+        gateway.list(ListKind.FAILED, [])
+        before, begun = gateway.asked, gateway.now
+        while gateway.asked == before:
+            gateway.run(gateway.now + 50 * MS)
+        asked.append(gateway.now - begun)
+    assert max(asked) <= within * 3 // 10 + 50 * MS
+    assert asked[-1] > asked[0] / 4   # they still differ: gateways must not ask in step
+    assert len(set(asked)) > 3
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -119,9 +119,9 @@
         fake.head(writer)
         fake.line(writer, 43, [])
         assert await heard.told.get() == (ListKind.DELTA, [])
-        discovery.sweep(now_ns() + 4 * SECOND)   # one beat late is no death
+        discovery.sweep(now_ns() + 2 * SECOND)   # the next beat is due, no more
         assert heard.told.empty()
-        discovery.sweep(now_ns() + 6 * SECOND)
+        discovery.sweep(now_ns() + 3500 * MS)    # what it would have told counts as told after 6 s
         assert await heard.told.get() == (ListKind.FAILED, [])
     play(scene)
 
