Forget servers that are gone

The module kept an entry for each server it had ever been told of, and every change of the list walked over all of them. Attempts still out hold their server themselves.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -282,6 +282,9 @@
             for server in self._servers.values():
                 if server.host not in seen:
                     server.state = HostState.GONE
+        # Guards against memory that grows with every release: a replaced server comes back under another name.
+        self._servers = {host: server for host, server in self._servers.items()
+                         if server.state is not HostState.GONE}
         self._index()
         self._release(now)
         if kind is ListKind.CACHED:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -356,3 +356,17 @@
     assert max(asked) <= within * 3 // 10 + 50 * MS
     assert asked[-1] > asked[0] / 4   # they still differ: gateways must not ask in step
     assert len(set(asked)) > 3
+
+
+def test_servers_that_are_gone_do_not_pile_up() -> None:
+    """Each release of the servers left as many entries behind, for ever."""
+    gateway = Gateway(some_settings(), [entry("h0")])
+    for number in range(100):
+        rid = gateway.request()
+        gateway.list(ListKind.DELTA, [entry(f"h{number}", state=HostState.GONE), entry(f"h{number + 1}")])
+        if gateway.held[rid].out:   # an answer of what is gone still counts
+            gateway.outcome(rid, Outcome.OK, spent_ns=10 * MS)
+        gateway.run(gateway.now + 50 * MS)
+    assert len(gateway.module._servers) == 1
+    assert set(gateway.ends.values()) == {"served"}
+    assert not gateway.broken
