--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -282,7 +282,7 @@
             for server in self._servers.values():
                 if server.host not in seen:
                     server.state = HostState.GONE
-        # Guards against memory that grows with every release: a replaced server comes back under another name.
+        # Guards against memory that grows with each release: who replaces a server has a name of its own.
         self._servers = {host: server for host, server in self._servers.items()
                          if server.state is not HostState.GONE}
         self._index()
