--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -767,7 +767,8 @@
     def _hold(self, request: _Request, now: int) -> None:
         """No room: wait for an answer to make some, the dearest work first, while it can be in time."""
         cls = request.cls
-        request.due = min(request.born + int(HOLD_AIM * request.aim), request.deadline - self._set.tick_ns)
+        given = min(request.aim, request.deadline - request.born)
+        request.due = request.born + int(HOLD_AIM * given)
         work = max(cls.usual * (request.hint or 1), 1.0)
         heappush(self._held, (-(cls.worth if self._set.worth_by_work else cls.worth * SECOND / work),
                               request.rid, request))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -370,3 +370,13 @@
     assert len(gateway.module._servers) == 1
     assert set(gateway.ends.values()) == {"served"}
     assert not gateway.broken
+
+
+def test_a_request_is_held_for_half_of_its_time_at_most() -> None:
+    """Half of its aim was all of the time of an impatient client's request."""
+    gateway = Gateway(some_settings(), [entry("h")])
+    gateway.module._near.limit = 0.0
+    rid = gateway.request(ttl_ns=150 * MS)
+    gateway.run(80 * MS)
+    assert gateway.ends[rid] == "refuse"
+    assert not gateway.broken
