Do not learn a jam as the usual latency where limits settle

The guard against it began at 0.2 T1, above the 0.14 at which limits settle, so in the steady state the jam was learnt in some 200 answers.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -44,7 +44,8 @@
 T1_OF_LEFT = 0.9     # T1 is at most this share of the time a request has
 LATENCY_W = 0.05     # weight of one answer in the class's mean latency and its deviation
 USUAL_W = 0.005      # weight of one answer in the class's usual latency, once 1 / W have been seen
-USUAL_JAM = 0.1      # share of that weight for slower answers while the pool's delay is high
+USUAL_JAM = 0.1      # share of that weight while the pool's delay is
+USUAL_TO = 0.5       # above this share of what a limit settles at
 
 # Placement.
 DRAWS = 6            # fresh pairs drawn before an original takes a server that it would rather avoid
@@ -388,8 +389,10 @@
             cls.spread += LATENCY_W * (abs(error) - cls.spread)
             cls.seen += 1
             weight = max(USUAL_W, 1.0 / cls.seen)
-            if sample > cls.usual and self._q(self._pool_of(server), POOL_T1, now) > Q_MIN * POOL_T1:
-                weight *= USUAL_JAM  # a jam must not become usual
+            # A jam must not become usual: limits settle at LIMIT_AIM, so it begins below that.  Slowly both
+            # ways, or quick answers alone would be learnt and all others taken for late.
+            if self._q(self._pool_of(server), POOL_T1, now) > USUAL_TO * LIMIT_AIM * POOL_T1:
+                weight *= USUAL_JAM
             cls.usual += weight * (sample - cls.usual)
         server.ratio += RATIO_W * (min(sample / cls.mean, RATIO_MAX) - server.ratio)
         delay = self._reported_delay(server, spent, load)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -380,3 +380,29 @@
     gateway.run(80 * MS)
     assert gateway.ends[rid] == "refuse"
     assert not gateway.broken
+
+
+def answer_all(gateway: Gateway, spent_ns: int) -> None:
+    """All that is out is served after this time, and what it makes room for."""
+    gateway.run(gateway.now + spent_ns)
+    for rid in [rid for rid, held in gateway.held.items() if held.out]:
+        gateway.outcome(rid, Outcome.OK, spent_ns=spent_ns)
+
+
+def burst(gateway: Gateway, size: int = 200) -> int:
+    """How many of so many requests at once are sent at once, by a gateway that holds none."""
+    while gateway.module._held_n or any(held.out for held in gateway.held.values()):
+        answer_all(gateway, 20 * MS)
+    return sum(gateway.held[gateway.request()].count for _ in range(size))
+
+
+def test_a_lasting_jam_does_not_become_usual() -> None:
+    """A jam under the gate's threshold was learnt within some hundred answers, and the limit rose with it."""
+    gateway = Gateway(some_settings(), [entry(f"h{number}") for number in range(8)])
+    settle(gateway, 200, 20 * MS)
+    for _ in range(100):
+        for _ in range(40):
+            gateway.request()
+        answer_all(gateway, 75 * MS)
+    assert burst(gateway) < 16
+    assert not gateway.broken
