--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -366,9 +366,11 @@
         server.bad += BAD_W * (failed - server.bad)
 
     def _note(self, server: _Server, delay: float, t1: int, now: int, failed: bool,
-              full: bool = False) -> None:
-        """News of a server, and so of the pool it stands in."""
+              full: bool = False, queued: bool = True) -> None:
+        """News of a server, and of its pool if it tells of a queue."""
         self._observe(server, delay, t1, now, failed)
+        if not queued:
+            return
         pool = self._pool_of(server)
         self._observe(pool, max(-POOL_MAX, min(delay / t1, POOL_MAX)) * POOL_T1, POOL_T1, now, failed)
         self._adapt(pool, full, now)
@@ -698,7 +700,10 @@
         else:
             delay = float(t1)
         full = outcome is Outcome.FULL
-        self._note(server, delay, t1, now, failed=True, full=full)
+        # A broken answer or connection speaks against its server, but nobody waited for it in a queue: guards
+        # against a limit that shrinks before idle servers, each reset counting as a whole T1 of the pool.
+        self._note(server, delay, t1, now, failed=True, full=full,
+                   queued=full or outcome is Outcome.TIMEOUT)
 
     def on_gone(self, now_ns: int, rid: int) -> None:
         """The client has left."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -406,3 +406,21 @@
         answer_all(gateway, 75 * MS)
     assert burst(gateway) < 16
     assert not gateway.broken
+
+
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.ERROR, Outcome.CONNECT_FAILED])
+def test_broken_answers_do_not_hold_work_back_from_idle_servers(outcome: Outcome) -> None:
+    """Each reset counted as a full T1 of queueing in its pool: the limit fell while the servers were idle."""
+    gateway = Gateway(some_settings(), [entry(f"h{number}") for number in range(8)])
+    settle(gateway, 40, 10 * MS)
+    held_back = answers = 0
+    for _ in range(400):
+        batch = [gateway.request() for _ in range(4)]
+        held_back += sum(1 for rid in batch if not gateway.held[rid].count)
+        gateway.run(gateway.now + 10 * MS)
+        for rid in [rid for rid, held in gateway.held.items() if held.out]:
+            answers += 1
+            gateway.outcome(rid, Outcome.OK if answers % 6 else outcome, spent_ns=10 * MS)
+        gateway.run(gateway.now + 10 * MS)
+    assert held_back < 20
+    assert not gateway.broken
