--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -4,8 +4,7 @@
 an attempt that fails is tried again on doubling timers, and each further try passes only with a
 probability p that falls linearly while the receiving server's smoothed queueing delay q_avg rises from
 0.2 T1 to T1.  In reading order: the fleet, the estimate for each server, placement, the gate, the rules
-(one choke point), what becomes of attempts, the departures.  docs/design.md says what was kept from the
-paper and what was not.
+(one choke point), what becomes of attempts, the departures.
 """
 
 from __future__ import annotations
