An answer counts as one step of a pool's delay at most

Ruled out: late news of hosts (no sends to what is gone), connections (refusals and time-outs on two hosts only). Cause: _observe weighs news by the time since the last. Of a gateway that gets 8 answers a second a pool, one long answer is up to two thirds of its delay, and limits fall eight times as fast as they grow. 3 gateways get enough.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -35,6 +35,7 @@
 STEP = 0.1           # the paper's step, in T1: 50 ms where T1 is 0.5 s
 MIN_STEPS = 0.05     # news in quick succession: the memory stays a time, not a count of answers
 MAX_STEPS = 10       # news after a long silence counts as so many steps at most
+POOL_STEPS = 1.0     # and an answer as so many of a pool: one of few answers is chance, not a jam
 MAX_DOUBLINGS = 6    # the paper's timers double six times at most
 
 # T1: well above the usual latency, under the usual time left.
@@ -357,10 +358,11 @@
         idle = now - server.q_at - HOLD * t1 * (1 << min(server.fails, HOLD_DOUBLINGS))
         return server.q_avg if idle <= 0 else server.q_avg * exp(-idle / (DECAY * t1))
 
-    def _observe(self, server: _Estimate, delay: float, t1: int, now: int, failed: bool) -> None:
+    def _observe(self, server: _Estimate, delay: float, t1: int, now: int, failed: bool,
+                 most: float = MAX_STEPS) -> None:
         """q_avg <- (1 - w) q_avg + w q, one w_q for each step since the last news."""
         q = self._q(server, t1, now)
-        steps = min(max(MIN_STEPS, (now - server.q_at) / (STEP * t1)), MAX_STEPS)
+        steps = min(max(MIN_STEPS, (now - server.q_at) / (STEP * t1)), most)
         server.q_avg = q + (1.0 - (1.0 - W_Q) ** steps) * (delay - q)
         server.q_at = now
         server.fails = server.fails + 1 if failed else 0
@@ -375,7 +377,8 @@
         pool = self._pool_of(server)
         # In the T1 of its class: one cut to a client's patience made a jam of every answer to the impatient.
         share = max(-POOL_MAX, min(delay / request.usual_t1, POOL_MAX))
-        self._observe(pool, share * POOL_T1, POOL_T1, now, failed)
+        self._observe(pool, share * POOL_T1, POOL_T1, now, failed,
+                      MAX_STEPS if failed else POOL_STEPS)
         self._adapt(pool, full, now)
 
     def _pool_of(self, server: _Server) -> _Pool:
