A limit in flight leaves room for what one of many gateways has by chance

Cause: _room compares what is in flight by chance with a limit of its mean. With limits of 30 chance is a fifth, with limits of two it is all. What one gateway has too many others have too few, so a root of it is left, less the root of what all have by chance; for a gateway alone nothing. The start doubled for tiny shares is needless with it.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -261,6 +261,8 @@
         self._served = 0.0       # answers a second, all servers, smoothed
         self._served_at = 0
         self._fair = 1.0         # servers for each gateway
+        # A root of what one gateway has in flight, less its part of a root of what all have.
+        self._apart = 1.0 - settings.replicas ** -0.5
         self._took = 0.0         # time of an answer, all classes, smoothed
         self._missed = 0.0       # share of requests within allowances that miss their aim, smoothed
         fields = settings.report_fields
@@ -333,7 +335,7 @@
             # Hundreds of gateways with a whole request each would jam a small fleet at their start.
             # Only with servers: guards against a start from an empty list, whose limit stayed at the least.
             if servers and not side.limit:
-                side.limit = max(LIMIT_MIN, LIMIT_START * max(fair, min(2 * fair, 1.0)))
+                side.limit = max(LIMIT_MIN, LIMIT_START * fair)
 
     def _ask_later(self, now: int) -> None:
         """Guards against many gateways asking in step: the pause doubles and is drawn anew each time."""
@@ -776,8 +778,13 @@
             pool.limit = max(floor, pool.limit + step)
 
     def _room(self, pool: _Pool) -> bool:
-        """Whether the limit leaves room; what lies between whole numbers is met in the mean, by chance."""
-        return pool.inflight + self._random() < pool.limit
+        """Whether the limit leaves room; what lies between whole numbers is met in the mean, by chance.
+
+        What is in flight varies by a root of itself.  Guards against gateways with a limit of one or two each,
+        which hold work back by chance while the fleet has room: what one has too many, others have too few.
+        """
+        chance = self._apart * min(pool.limit, pool.limit ** 0.5)
+        return pool.inflight + self._random() < pool.limit + chance
 
     def _hold(self, request: _Request, now: int) -> None:
         """No room: wait for an answer to make some, the dearest work first, while it can be in time."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -474,3 +474,19 @@
     unserved = [rid for rid, how in gateway.ends.items() if how != "served"]
     assert len(unserved) < 0.05 * gateway.rid
     assert not gateway.broken
+
+
+def test_what_one_of_many_gateways_has_by_chance_is_not_held() -> None:
+    """Forty gateways with limits of one or two each held chance arrivals back while the fleet had room."""
+    sent = 0
+    for salt in range(100):   # each has its first limit: one and a half
+        gateway = Gateway(some_settings(replicas=40), [entry(f"h{number}") for number in range(60)], salt)
+        sent += burst(gateway, 4)
+        assert not gateway.broken
+    assert 240 < sent < 300
+
+
+def test_a_gateway_alone_has_no_more_in_flight_than_its_limit() -> None:
+    """What one of many has too many others have too few; what a gateway alone has, the servers have."""
+    sent = sum(burst(Gateway(some_settings(), [entry("a"), entry("b")], salt), 8) for salt in range(50))
+    assert sent == 100
