Start a gateway that has less than a host to itself as before

The start limit was halved for such gateways together with the room for chance: a gateway with a third of one host held its first request (test of the wire).

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Sequence
 from heapq import heapify, heappop, heappush
-from math import ceil, exp, inf
+from math import ceil, exp, inf, sqrt
 from random import Random
 from zlib import crc32
 
@@ -262,7 +262,7 @@
         self._served_at = 0
         self._fair = 1.0         # servers for each gateway
         # A root of what one gateway has in flight, less its part of a root of what all have.
-        self._apart = 1.0 - settings.replicas ** -0.5
+        self._apart = 1.0 - 1.0 / sqrt(settings.replicas)
         self._took = 0.0         # time of an answer, all classes, smoothed
         self._missed = 0.0       # share of requests within allowances that miss their aim, smoothed
         fields = settings.report_fields
@@ -335,7 +335,7 @@
             # Hundreds of gateways with a whole request each would jam a small fleet at their start.
             # Only with servers: guards against a start from an empty list, whose limit stayed at the least.
             if servers and not side.limit:
-                side.limit = max(LIMIT_MIN, LIMIT_START * fair)
+                side.limit = max(LIMIT_MIN, LIMIT_START * max(fair, min(2 * fair, 1.0)))
 
     def _ask_later(self, now: int) -> None:
         """Guards against many gateways asking in step: the pause doubles and is drawn anew each time."""
@@ -780,10 +780,10 @@
     def _room(self, pool: _Pool) -> bool:
         """Whether the limit leaves room; what lies between whole numbers is met in the mean, by chance.
 
-        What is in flight varies by a root of itself.  Guards against gateways with a limit of one or two each,
+        What is in flight varies by a root of itself.  Guards against gateways with limits of one or two each,
         which hold work back by chance while the fleet has room: what one has too many, others have too few.
         """
-        chance = self._apart * min(pool.limit, pool.limit ** 0.5)
+        chance = self._apart * min(pool.limit * pool.limit, sqrt(pool.limit))   # under one the draw does
         return pool.inflight + self._random() < pool.limit + chance
 
     def _hold(self, request: _Request, now: int) -> None:
