--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from heapq import heappop, heappush
 from random import Random
 
 import pytest
 
-from bridgesaddle.api import MS, SECOND, Effect, Group, HostState, ListKind, Outcome, Rules, Tenant
+from bridgesaddle.api import MS, SECOND, Effect, Group, HostId, HostState, ListKind, Outcome, Rules, Tenant
 
 from .gateway import Gateway, a_class, entry, settle, some_settings
 
@@ -490,3 +491,15 @@
     """What one of many has too many others have too few; what a gateway alone has, the servers have."""
     sent = sum(burst(Gateway(some_settings(), [entry("a"), entry("b")], salt), 8) for salt in range(50))
     assert sent == 100
+
+
+def test_many_gateways_use_the_servers_of_a_zone_evenly() -> None:
+    """Subsets of three servers left each with one to three gateways, so some jammed while others idled."""
+    hosts = [entry(f"h{number}", zone=number % 3) for number in range(60)]
+    users: Counter[HostId] = Counter()
+    for me in range(13):
+        gateway = Gateway(some_settings(zones=3, replicas=40, me=me), hosts, salt=me)
+        settle(gateway, 60, 20 * MS)
+        users.update(host for host in gateway.hosts_sent() if gateway.hosts[host].zone == 0)
+    assert len(users) == 20
+    assert max(users.values()) < 2 * min(users.values())
