Pace cold hosts by what warm ones do and by the usual answer, not by a jam

Ruled out: late news (new hosts are in all lists within 2 s), the rule (their budget is used to a fifth). Cause: _cold_room counts what the fleet serves over all hosts, the cold ones too, and one request in the time of an answer, which is 0.3 to 0.5 s in the jam. So the less is served the less the cold may do, for all gateways alike.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -89,6 +89,7 @@
 # Cold servers.
 COLD_MARGIN = 0.5    # share of the fall budget used: callers and zones are uneven
 RATE_S = 2.0         # time constant of the served rate, seconds
+ABLE_FOR = SECOND // 10  # how long a count of warm servers stands
 
 # Discovery.
 ASK_SPREAD = 0.25    # first call: within this share of ask-within, at random, so that gateways do not queue
@@ -263,7 +264,9 @@
         self._fair = 1.0         # servers for each gateway
         # A root of what one gateway has in flight, less its part of a root of what all have.
         self._apart = 1.0 - 1.0 / sqrt(settings.replicas)
-        self._took = 0.0         # time of an answer, all classes, smoothed
+        self._work = 0.0         # usual time of an answer, all classes, smoothed
+        self._able_n = 1.0
+        self._able_until = 0
         self._missed = 0.0       # share of requests within allowances that miss their aim, smoothed
         fields = settings.report_fields
         self._at = {name: fields.index(name) for name in fields}
@@ -328,6 +331,7 @@
                 self._cells.setdefault(server.cell, []).append(server)
                 if server.zone != self._set.zone:
                     self._remote.append(server)
+        self._able_until = 0
         near = self._ready[self._set.zone]
         fair = self._fair = (len(near) + len(self._remote)) / self._set.replicas
         for side, servers in ((self._near, near), (self._far, self._remote)):
@@ -682,8 +686,9 @@
             outcome = Outcome.TIMEOUT
         if outcome is Outcome.OK:
             self._count_served(now)
-            self._took += LATENCY_W * (spent_ns - self._took) if self._took else spent_ns
             self._served_one(request, server, spent_ns, load, now)
+            usual = request.cls.usual * (request.hint or 1)
+            self._work += LATENCY_W * (usual - self._work) if self._work else usual
         elif outcome is not Outcome.CANCELLED and outcome is not Outcome.MOOT and not attempt.overdue:
             self._failed_one(request, server, outcome, spent_ns, now)
         if settled:
@@ -930,14 +935,24 @@
         rules, replicas = self._set.rules, self._set.replicas
         near = max(1, len(self._ready[self._set.zone]))
         sharers = 1.0 + replicas / self._set.zones * len(self._near.servers) / near
-        # A server does at least one request at a time, and about what the fleet does for each server.
-        one = SECOND / self._took if self._took else 0.0
-        rate = max(self._served * replicas / (near + len(self._remote)), one)
+        # A server does at least one request at a time, and about what the fleet does for each that is warm.
+        # Neither as it is in a jam: guards against a fleet that most of its servers leave and join at once,
+        # where what little is served made the cold do little, and what they did not do kept it little.
+        one = SECOND / self._work if self._work else 0.0
+        rate = max(self._served * replicas / self._able(now), one)
         pace = COLD_MARGIN * rules.fall_multiple * self._warmth(server, now) * rate / sharers
         server.cold_credit = min(server.cold_credit + pace * (now - server.cold_at) / SECOND, 1.0)
         server.cold_at = now
         return server.cold_credit >= 1.0
 
+    def _able(self, now: int) -> float:
+        """How many warm servers all that are ready are worth; worked out again a few times a second."""
+        if now >= self._able_until:
+            self._able_until = now + ABLE_FOR
+            self._able_n = max(1.0, sum(self._warmth(server, now) if server.cold_until > now else 1.0
+                                        for ready in self._ready for server in ready))
+        return self._able_n
+
     def _count_served(self, now: int) -> None:
         since = (now - self._served_at) / SECOND
         self._served_at = now
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -503,3 +503,20 @@
         users.update(host for host in gateway.hosts_sent() if gateway.hosts[host].zone == 0)
     assert len(users) == 20
     assert max(users.values()) < 2 * min(users.values())
+
+
+def test_new_servers_take_work_from_the_few_that_a_release_has_left() -> None:
+    """The pace for cold servers came from the jam: little was served, so they were thought to do little."""
+    rules = Rules(cold_share=0.12, warm_within_ns=24 * SECOND, fall_multiple=3.0, fall_ns=1500 * MS)
+    gateway = Gateway(some_settings(replicas=40, rules=rules), [entry(f"h{number}") for number in range(60)])
+    settle(gateway, 100, 80 * MS, 20 * MS)
+    gateway.list(ListKind.FULL, [entry(f"h{number}") for number in range(20)] + [
+        entry(f"new{number}", started_ns=gateway.now) for number in range(40)])
+    gateway.sends.clear()
+    for _ in range(100):
+        for _ in range(4):
+            gateway.request()
+        answer_all(gateway, 400 * MS)
+    to_new = sum(1 for _, host, _ in gateway.sends if str(host).startswith("new"))
+    assert to_new > 0.55 * len(gateway.sends)
+    assert not gateway.broken
