Count what a warm host does when it does it, not by the hosts that are left

Found by a test of 42 gateways whose 60 hosts are all replaced at once: up to 20 sends to a host that stands 8 in 1.5 s. Cause, in the change before: answers of the last two seconds were divided by the warm hosts of now, so when most hosts go at once those who come are thought to be eight times as fast, by all gateways together.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -259,7 +259,7 @@
         self._held_n = 0         # of its entries, those still held
         self._watching = False
         self._ask_gap = 0.0
-        self._served = 0.0       # answers a second, all servers, smoothed
+        self._served = 0.0       # answers a second for each warm server, smoothed
         self._served_at = 0
         self._fair = 1.0         # servers for each gateway
         # A root of what one gateway has in flight, less its part of a root of what all have.
@@ -939,7 +939,7 @@
         # Neither as it is in a jam: guards against a fleet that most of its servers leave and join at once,
         # where what little is served made the cold do little, and what they did not do kept it little.
         one = SECOND / self._work if self._work else 0.0
-        rate = max(self._served * replicas / self._able(now), one)
+        rate = max(self._served * replicas, one)
         pace = COLD_MARGIN * rules.fall_multiple * self._warmth(server, now) * rate / sharers
         server.cold_credit = min(server.cold_credit + pace * (now - server.cold_at) / SECOND, 1.0)
         server.cold_at = now
@@ -956,4 +956,4 @@
     def _count_served(self, now: int) -> None:
         since = (now - self._served_at) / SECOND
         self._served_at = now
-        self._served = self._served * exp(-since / RATE_S) + 1.0 / RATE_S
+        self._served = self._served * exp(-since / RATE_S) + 1.0 / (RATE_S * self._able(now))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -520,3 +520,24 @@
     to_new = sum(1 for _, host, _ in gateway.sends if str(host).startswith("new"))
     assert to_new > 0.55 * len(gateway.sends)
     assert not gateway.broken
+
+
+def test_gateways_of_all_zones_together_keep_a_cold_server_standing() -> None:
+    """What all may send to a cold server is shared by those that draw from it, in its zone and in others."""
+    rules = Rules(cold_share=0.12, warm_within_ns=24 * SECOND, fall_multiple=3.0, fall_ns=1500 * MS)
+    sent: Counter[HostId] = Counter()
+    for me in range(42):
+        gateway = Gateway(some_settings(zone=me % 3, zones=3, replicas=42, me=me, rules=rules),
+                          [entry(f"h{number}", zone=number % 3) for number in range(60)], salt=me)
+        settle(gateway, 60, 80 * MS, 20 * MS)
+        gateway.list(ListKind.FULL, [
+            entry(f"new{number}", zone=number % 3, started_ns=gateway.now) for number in range(60)])
+        gateway.sends.clear()
+        until = gateway.now + 1500 * MS
+        while gateway.now < until:
+            for _ in range(8):
+                gateway.request()
+            answer_all(gateway, 100 * MS)
+        sent += gateway.hosts_sent()
+    # One core answers 12.5 a second; cold, it does 0.12 to 0.18 of that in this time.
+    assert max(sent.values()) < 3.0 * 0.15 * 12.5 * 1.5
