Use cold hosts from all zones, their budget shared by all that draw from them

Symptom: join, 15 to 24 s: 40% refused, while new hosts of the zones with much room answer in 30 to 100 ms at 1 to 5 a second; the gateways of the zone with 9 hosts and most of the traffic hold 10 to 15 requests each. Evidence: sends and answers of 40 gateways by host and zone; draws without credit are not the limit there. Ruled out: the pace (used to a fifth by its zone's few gateways), spill (far pools are drawn from, their warm hosts jam). Cause: _cold_turn barred every host of another zone, and _cold_room shared a budget among the zone's gateways and one more. Now all that draw from a host share it, counted from the list, the settings and the size of a subset.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -252,6 +252,7 @@
         self._servers: dict[HostId, _Server] = {}
         self._ready: list[list[_Server]] = [[] for _ in range(settings.zones)]
         self._remote: list[_Server] = []
+        self._users = [1.0] * settings.zones   # gateways for each server of a zone
         self._cells: dict[int, list[_Server]] = {}
         self._near = _Pool()
         self._far = _Pool()
@@ -332,6 +333,7 @@
                 if server.zone != self._set.zone:
                     self._remote.append(server)
         self._able_until = 0
+        self._count_users()
         near = self._ready[self._set.zone]
         fair = self._fair = (len(near) + len(self._remote)) / self._set.replicas
         for side, servers in ((self._near, near), (self._far, self._remote)):
@@ -341,6 +343,15 @@
             if servers and not side.limit:
                 side.limit = max(LIMIT_MIN, LIMIT_START * max(fair, min(2 * fair, 1.0)))
 
+    def _count_users(self) -> None:
+        """How many gateways draw from a server of each zone, where they are spread evenly over the zones."""
+        total = sum(len(ready) for ready in self._ready)
+        a_zone = self._set.replicas / self._set.zones
+        size = self._arc_size(total / self._set.replicas)
+        near = [min(1.0, size / max(1, len(ready))) for ready in self._ready]
+        far = [min(1.0, size / max(1, total - len(ready))) for ready in self._ready]
+        self._users = [a_zone * (near[zone] + sum(far) - far[zone]) for zone in range(len(near))]
+
     def _ask_later(self, now: int) -> None:
         """Guards against many gateways asking in step: the pause doubles and is drawn anew each time."""
         if not self._set.ask_discovery:
@@ -832,13 +843,17 @@
 
     def _arc(self, servers: list[_Server], fair: float) -> list[_Server]:
         """Subsetting: a gateway that sees little draws from a part, where its own in-flight tells more."""
-        size = max(ARC_MIN, ceil(ARC * fair))
+        size = self._arc_size(fair)
         if size >= len(servers):
             return list(servers)
         ring = sorted(servers, key=lambda server: (crc32(repr(server.host).encode()), repr(server.host)))
         start = int((self._set.me * GOLDEN) % 1.0 * len(ring))
         return [ring[(start + step) % len(ring)] for step in range(size)]
 
+    @staticmethod
+    def _arc_size(fair: float) -> int:
+        return max(ARC_MIN, ceil(ARC * fair))
+
     def _permitted(self, request: _Request) -> list[_Server]:
         """Where a retry may go: the near pool, or the group that drops repeats of what may have run."""
         anchor, cls = request.anchor, request.cls
@@ -924,7 +939,7 @@
 
         Thinning needs no rate and no count of gateways: each sends its own share of what it would have.
         """
-        return server.zone == self._set.zone and self._random() < self._warmth(server, now)
+        return self._random() < self._warmth(server, now)
 
     def _cold_room(self, server: _Server, now: int) -> bool:
         """Rule 4: credit for a cold server grows at this gateway's part of the fall budget.
@@ -933,8 +948,7 @@
         draw from the server do not send at once, and a part below one request a window is kept in the mean.
         """
         rules, replicas = self._set.rules, self._set.replicas
-        near = max(1, len(self._ready[self._set.zone]))
-        sharers = 1.0 + replicas / self._set.zones * len(self._near.servers) / near
+        sharers = max(1.0, self._users[server.zone])
         # A server does at least one request at a time, and about what the fleet does for each that is warm.
         # Neither as it is in a jam: guards against a fleet that most of its servers leave and join at once,
         # where what little is served made the cold do little, and what they did not do kept it little.
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -522,6 +522,23 @@
     assert not gateway.broken
 
 
+def test_new_servers_of_other_zones_help_a_zone_that_has_too_few() -> None:
+    """Only gateways of its own zone used a cold server: it idled while others' warm ones were jammed."""
+    rules = Rules(cold_share=0.12, warm_within_ns=24 * SECOND, fall_multiple=3.0, fall_ns=1500 * MS)
+    gateway = Gateway(some_settings(zones=3, replicas=40, rules=rules),
+                      [entry(f"h{number}", zone=number % 3) for number in range(60)])
+    settle(gateway, 100, 80 * MS, 20 * MS)
+    gateway.list(ListKind.FULL, [entry(f"h{number}") for number in range(0, 60, 3)] + [
+        entry(f"new{number}", zone=1 + number % 2, started_ns=gateway.now) for number in range(40)])
+    gateway.sends.clear()
+    for _ in range(100):
+        for _ in range(8):
+            gateway.request()
+        answer_all(gateway, 400 * MS)
+    assert sum(1 for _, host, _ in gateway.sends if str(host).startswith("new")) > 120
+    assert not gateway.broken
+
+
 def test_gateways_of_all_zones_together_keep_a_cold_server_standing() -> None:
     """What all may send to a cold server is shared by those that draw from it, in its zone and in others."""
     rules = Rules(cold_share=0.12, warm_within_ns=24 * SECOND, fall_multiple=3.0, fall_ns=1500 * MS)
