--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -62,7 +62,7 @@
 
 LIMIT_START = 1.0    # requests in flight at the start for each server, over all gateways
 LIMIT_MIN = 0.1      # least limit: a few requests still find out that a jam is over
-LIMIT_FLOOR = 1.0    # least limit by delay alone, for each server of the fair share: it works on one at least
+LIMIT_FLOOR = 0.5    # least limit by delay alone, for each server of the gateway's fair share
 LIMIT_STEP = 0.05    # growth of a pool's limit in the time its requests take, while delay is low
 LIMIT_FALL = 8.0     # and the steepest fall, in such steps
 LIMIT_AIM = 0.14     # pool delay that a limit settles at, in T1: under the lower threshold of the gate
