Answer operators at a second address, with the figures

GET /_ready and GET /_vars at `operator` or $EDGE_OPERATOR, one call a connection, each answered from memory; silent and half calls are closed after 1.5 s and make room for others before. Without the setting nothing listens. Signals are handled before the address is: SIGTERM right after the first connection could end the program unhandled (seen once in test_a_restart_is_at_once).

--- a/bridgesaddle/api.py
+++ b/bridgesaddle/api.py
@@ -319,3 +319,6 @@
 
     def on_peer(self, now_ns: int, peer: int, content: bytes) -> None:
         """Another gateway has sent a message."""
+
+    def members_unavailable(self, now_ns: int) -> int:
+        """How many listed servers are avoided now.  It asks, and changes nothing."""
--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -770,6 +770,12 @@
         """Another gateway has sent a message; none is needed."""
         self._tick(now_ns)
 
+    def members_unavailable(self, now_ns: int) -> int:
+        """Listed servers that originals avoid now: they drain, or fail too often."""
+        now = max(now_ns, self._now)
+        return sum(server.state is not HostState.READY or self._shunned(server, POOL_T1, now)
+                   for server in self._servers.values())
+
     def _tick(self, now_ns: int) -> int:
         """Time never goes back for the module, whatever a caller's clock does."""
         if now_ns > self._now:
--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -20,10 +20,12 @@
 from bridgesaddle.api import MS, Settings
 from bridgesaddle.wire import WireError, parse_settings
 
+from .admin import Admin, Answered
 from .core import Core, Maker
 from .discovery import Discovery, Lines
 from .peers import Peers
 from .server import Server
+from .stats import Stats
 from .timers import Timers, now_ns
 from .upstream import Upstream
 
@@ -67,6 +69,8 @@
             everyone, own = told.get("peers_all"), told.get("peer_listen")
             self.peers_all = _address(everyone) if everyone else None
             self.peer_listen = _address(own) if own else None
+            operator = environ.get("EDGE_OPERATOR") or told.get("operator")
+            self.operator = _address(operator) if operator else None
             self.kinds = [str(name) for name in raw.get("flavors", ())]
         except KeyError as error:
             raise BadConfig(f"{error} is missing") from None
@@ -104,24 +108,30 @@
         self._loop = loop
         self._config = config
         self.timers = Timers(loop)
+        self.stats = Stats()
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         free = max(16, min(config.sockets, soft if soft > 0 else config.sockets) - RESERVE)
         self.core = Core(settings, config.seed, self.timers, config.columns, make)
         self.upstream = Upstream(loop, self.timers, int(free * (1 - CLIENTS)),
-                                  settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns)
+                                  settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns,
+                                  self.stats)
         # Read once: a host's start must be the same number each time it is told.
         offset = time.monotonic_ns() - time.time_ns()
         self.discovery = Discovery(loop, self.timers, config.discovery,
                                     Lines(config.zones, config.kinds, offset),
                                     not settings.ask_discovery, self.core.on_list)
         self.core.attach(self.upstream, self.discovery)
-        self.server = Server(self.core, settings, int(free * CLIENTS))
+        self.server = Server(self.core, settings, int(free * CLIENTS), self.stats)
+        self.admin = Admin({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars})
         self._listener: asyncio.Server | None = None
         self._done = asyncio.Event()
         self._stop_at = 0
 
     async def start(self) -> tuple[str, int]:
         """Listen and begin to watch; returns the address."""
+        if self._config.operator is not None:
+            self.operator = await self.admin.listen(self._loop, self._config.operator)
+            log.info("operators call %s:%d", *self.operator)
         self.discovery.known(self._config.known)
         self.discovery.start()
         host, port = self._config.listen
@@ -139,9 +149,9 @@
     async def run(self) -> None:
         """Serve until told to stop."""
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)   # first: its default ends the program
-        await self.start()
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.stop)
+        await self.start()
         await self._done.wait()
 
     def _sweep(self, _: None) -> None:
@@ -149,15 +159,26 @@
         self.upstream.sweep(now)
         self.discovery.sweep(now)
         self.server.sweep(now)
+        self.admin.sweep(now)
         self.timers.after(SWEEP, self._sweep, None)
 
+    def _ready(self) -> Answered:
+        ready = self._listener is not None and self.server.ready
+        return (200, b"ready\n") if ready else (503, b"not ready\n")
+
+    def _vars(self) -> Answered:
+        return 200, self.stats.text({"pending": self.server.pending, "members": self.upstream.listed,
+                                     "members_unavailable": self.core.members_unavailable()})
+
     def reload(self) -> None:
         """SIGHUP: discovery may have moved; a file that can't be read changes nothing."""
         try:   # the file alone: what the environment says of discovery is from the start
             told = Config({"EDGE_CONFIG": self._config.path})
         except BadConfig as error:
+            self.stats.config_reload_errors += 1
             log.warning("SIGHUP: the configuration stays as it was: %s", error)
             return
+        self.stats.config_reloads += 1
         log.info("SIGHUP: discovery is at %s:%d", *told.discovery)
         self.discovery.move(told.discovery)
 
@@ -181,6 +202,7 @@
         if late:
             self.core.fail_all()
         if not self.server.open or late:
+            self.admin.close()
             self.discovery.close()
             self.upstream.close()
             if self.core.peers is not None:
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -171,6 +171,10 @@
                     asked.hint_ns, asked.repeat, asked.write)
         return request
 
+    def members_unavailable(self) -> int:
+        """Listed hosts that the module avoids now."""
+        return self._module.members_unavailable(now_ns())
+
     def on_gone(self, request: Request) -> None:
         """The client has gone: its attempts are cancelled and nothing more is sent."""
         if request.exchange is not None:
@@ -313,7 +317,7 @@
             return
         path = b"/stats" if self.loads.columns else b"/health/live"
         attempt = Attempt(host, 0, (b"GET %b HTTP/1.1\r\nHost: host\r\n" % path, b""), self._now,
-                          self._now + PROBE_TIME, self._probed)
+                          self._now + PROBE_TIME, self._probed, probe=True)
         self._timers.at(attempt.due, self._expire, attempt)
         self.upstream.start(attempt)
 
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -13,6 +13,7 @@
 from bridgesaddle.api import MS, SECOND, Effect, Settings
 
 from .core import Core, Request
+from .stats import Stats
 from .timers import now_ns
 from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, Answer, Header
 
@@ -55,7 +56,7 @@
 class Checked:
     """A request that has passed the checks: the `Asked` of core.py."""
 
-    __slots__ = ("cls", "hint_ns", "id", "key", "payload", "repeat", "tenant", "ttl_ns", "write")
+    __slots__ = ("cls", "hint_ns", "id", "key", "name", "payload", "repeat", "tenant", "ttl_ns", "write")
 
     def __init__(self, cls: int, tenant: int, ttl_ns: int, payload: tuple[bytes, bytes],
                  headers: dict[bytes, bytes]) -> None:
@@ -64,6 +65,7 @@
         self.ttl_ns = ttl_ns
         self.payload = payload
         self.id = headers[b"x-request-id"]
+        self.name = headers[b"x-priority-class"]
         self.key = _key(headers.get(b"x-route-key", b""))
         self.hint_ns = _number(headers.get(b"x-cost", b"")) * 1000
         self.repeat = headers.get(b"x-retried") == b"1"
@@ -153,7 +155,7 @@
 class Exchange:
     """A request's place in the order of answers on its connection: the `Exchange` of core.py."""
 
-    __slots__ = ("answer", "close", "conn", "id", "request")
+    __slots__ = ("answer", "close", "cls", "conn", "id", "request")
 
     def __init__(self, conn: ClientConnection, close: bool) -> None:
         self.conn = conn
@@ -161,6 +163,7 @@
         self.answer: bytes | None = None
         self.request: Request | None = None
         self.id = b""
+        self.cls = ""   # named once the request has passed the checks: only then does it count
 
     def respond(self, status: int, headers: list[Header], body: bytes) -> None:
         """Word the answer; it leaves as soon as those before it have left."""
@@ -183,15 +186,22 @@
         headers = [item for item in answer.headers
                    if item[0].lower() not in HOP_BY_HOP and item[0].lower() != LOAD]
         self.respond(200, headers, answer.body)
+        self._count("completed")
 
     def failed(self) -> None:
         """No promise about the effect."""
         self.respond(502, [], b"failed\n")
+        self._count("failed")
 
     def refused(self, retry_after_ns: int) -> None:
         """Trying again is harmless; when, is the module's to say."""
         headers = [(b"Retry-After", b"%.3f" % (retry_after_ns / SECOND))] if retry_after_ns > 0 else []
         self.respond(503, headers, b"refused\n")
+        self._count("rejected")
+
+    def _count(self, how: str) -> None:
+        if self.cls:
+            self.conn.server.stats.ended(self.cls, how)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -410,8 +420,10 @@
 class Server:
     """All connections of clients."""
 
-    def __init__(self, core: Core, settings: Settings, max_open: int) -> None:
+    def __init__(self, core: Core, settings: Settings, max_open: int, stats: Stats) -> None:
         self.core = core
+        self.stats = stats
+        stats.name(item.name for item in settings.classes)
         self._checks = Checks(settings)
         self.max_open = max_open
         self._connections: dict[ClientConnection, None] = {}
@@ -457,6 +469,7 @@
         if asked.id in self._ids:   # guards against two copies of one id, each with attempts of its own
             exchange.respond(400, [], b"a request with this id is open\n")
             return
+        exchange.cls = asked.name.decode()
         if exchange.conn.surplus:
             exchange.close = True
             exchange.refused(0)   # nothing was sent for it
@@ -484,6 +497,11 @@
         for conn in list(self._connections):
             conn.close_if_idle()
 
+    @property
+    def pending(self) -> int:
+        """Requests that are taken and not ended."""
+        return len(self._ids)
+
     @property
     def reading(self) -> int:
         """Connections on which a part of a request has come."""
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -16,6 +16,7 @@
 from bridgesaddle.api import MS, SECOND, HostId, HostState, Outcome
 
 from .discovery import Listed
+from .stats import Stats
 from .timers import Timers, now_ns
 
 log = logging.getLogger("gateway.upstream")
@@ -50,11 +51,12 @@
 class Attempt:
     """One attempt at one host, or a probe.  `ended` is called once, with the answer if it was served."""
 
-    __slots__ = ("conn", "due", "ended", "host", "load", "number", "over", "payload", "started")
+    __slots__ = ("conn", "due", "ended", "host", "load", "number", "over", "payload", "probe", "started")
 
     def __init__(self, host: HostId, number: int, payload: tuple[bytes, bytes], started: int, due: int,
-                 ended: Callable[[Attempt, Outcome, Answer | None], None]) -> None:
+                 ended: Callable[[Attempt, Outcome, Answer | None], None], probe: bool = False) -> None:
         self.host = host
+        self.probe = probe
         self.number = number
         self.payload = payload   # the head without its last lines, and the body
         self.started = started
@@ -141,11 +143,18 @@
         self._written = False
         transport.write(attempt.message(now_ns()))
         # With a limit of 0 the transport tries the socket at once; what is left is only buffered.
-        self._written = not transport.is_closing() and not transport.get_write_buffer_size()
+        if not transport.is_closing() and not transport.get_write_buffer_size():
+            self._whole()
 
     def resume_writing(self) -> None:
         """The buffer is empty: the last byte is on the socket."""
-        self._written = True
+        self._whole()
+
+    def _whole(self) -> None:
+        if not self._written:
+            self._written = True
+            if self.attempt is not None and not self.attempt.probe:
+                self._pool.stats.upstream_requests += 1
 
     def data_received(self, data: bytes) -> None:
         """Feed the answer; what comes without a request waiting spoils the connection."""
@@ -271,8 +280,9 @@
     """All connections to hosts, within one bound; it sends what it is given and nothing by itself."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, max_open: int,
-                 connect_timeout_ns: int, idle_ns: int) -> None:
+                 connect_timeout_ns: int, idle_ns: int, stats: Stats) -> None:
         self._loop = loop
+        self.stats = stats
         self._timers = timers
         self._max_open = max_open
         self._connect_timeout = connect_timeout_ns or 250 * MS
@@ -304,6 +314,11 @@
         if host.idle and (not host.ready or host.idle[0].incarnation != host.incarnation):
             self._drop_idle(host)
 
+    @property
+    def listed(self) -> int:
+        """Hosts in the list."""
+        return len(self._hosts)
+
     def start(self, attempt: Attempt) -> None:
         """Send an attempt on the newest idle connection, or on a new one once that is up."""
         host = self._hosts.get(attempt.host)
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,120 @@
+"""What operators see: the second address, the figures."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gateway.admin import CALLERS
+from tests.sockets import FakeHost, Stage, play, request
+from tests.test_server import Fails, Refuses
+
+OPERATOR = {"operator": "127.0.0.1:0"}
+
+
+async def call(stage: Stage, data: bytes) -> tuple[int, bytes]:
+    """One call on a connection of its own, read to its end."""
+    reader, writer = await asyncio.open_connection(*stage.gateway.operator)
+    writer.write(data)
+    answer = await reader.read()
+    writer.close()
+    head, _, body = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), body
+
+
+async def figures(stage: Stage) -> dict[str, int]:
+    """The figures by their names."""
+    status, body = await call(stage, b"GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n")
+    assert status == 200
+    pairs = (line.partition("=") for line in body.decode().splitlines())
+    return {name.removeprefix("svc."): int(value) for name, _, value in pairs}
+
+
+def test_operators_are_told_whether_clients_are_taken() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost(), told=OPERATOR)
+            assert (await call(stage, b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+    play(scene)
+
+
+def test_without_the_setting_nothing_more_listens() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost())
+            assert not hasattr(stage.gateway, "operator")
+            status, _, _ = await (await stage.client()).ask(b"GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert status == 404   # nor can clients ask for the figures
+    play(scene)
+
+
+@pytest.mark.parametrize(("status", "data"), [
+    (404, b"GET /_nothing HTTP/1.1\r\nHost: x\r\n\r\n"),
+    (405, b"POST /_vars HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"),
+    (400, b"nonsense\r\n\r\n"),
+    (413, b"GET /_vars HTTP/1.1\r\nX: " + b"x" * 20_000),
+    (408, b""),
+    (408, b"GET /_vars HTT"),
+])
+def test_what_is_no_call_gets_an_error_and_a_close(status: int, data: bytes) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost(), told=OPERATOR)
+            assert (await call(stage, data))[0] == status
+    play(scene)
+
+
+def test_silent_callers_are_in_nobodys_way() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost(), told=OPERATOR)
+            crowd = [await asyncio.open_connection(*stage.gateway.operator) for _ in range(2 * CALLERS)]
+            assert (await figures(stage))["pending"] == 0
+            for _, writer in crowd:
+                writer.close()
+    play(scene)
+
+
+def test_the_figures_tell_what_became_of_requests() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost(reply=None)
+            await stage.begin(host, told=OPERATOR)
+            client = await stage.client()
+            before = await figures(stage)
+            assert before["downstream_requests.read.completed"] == before["pending"] == 0
+            assert (before["members"], before["members_unavailable"]) == (1, 0)
+            client.send(request())
+            seen = await host.seen.get()
+            held = await figures(stage)
+            assert (held["pending"], held["upstream_requests"]) == (1, 1)
+            seen.reply()
+            assert (await client.answer())[0] == 200
+            after = await figures(stage)
+            assert (after["downstream_requests.read.completed"], after["pending"]) == (1, 0)
+            assert after["downstream_requests.once.completed"] == 0
+    play(scene)
+
+
+@pytest.mark.parametrize(("make", "name"), [(Refuses, "rejected"), (Fails, "failed")])
+def test_refused_and_failed_requests_count_apart(make: type, name: str) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost(), make=make, told=OPERATOR)
+            await (await stage.client()).ask(request("once"))
+            told = await figures(stage)
+            assert {key: told[f"downstream_requests.once.{key}"]
+                    for key in ("completed", "rejected", "failed")} == {
+                "completed": 0, "rejected": 0, "failed": 0, name: 1}
+    play(scene)
+
+
+def test_hosts_that_drain_are_told_as_avoided() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            here, leaving = await FakeHost("h0").start(), await FakeHost("h1").start()
+            await stage.begin(rows=[here.row(), leaving.row("terminating")], told=OPERATOR)
+            told = await figures(stage)
+            assert (told["members"], told["members_unavailable"]) == (2, 1)
+    play(scene)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -27,7 +27,7 @@
         self.actions = actions
 
     def __getattr__(self, name: str) -> Any:
-        return lambda *args: None
+        return lambda *args: 0
 
     def on_request(self, now_ns: int, rid: int, *args: Any) -> None:
         self.act(rid)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -9,6 +9,7 @@
 
 from bridgesaddle.api import MS, SECOND, HostEntry, HostState, Outcome
 from gateway.discovery import Listed
+from gateway.stats import Stats
 from gateway.timers import Timers, now_ns
 from gateway.upstream import MAX_HEAD, Answer, Attempt, Upstream
 from tests.sockets import OK, FakeHost, Stage, play, request
@@ -23,7 +24,7 @@
     def __init__(self) -> None:
         loop = asyncio.get_running_loop()
         self.timers = Timers(loop)
-        self.upstream = Upstream(loop, self.timers, 20, 250 * MS, 15 * SECOND)
+        self.upstream = Upstream(loop, self.timers, 20, 250 * MS, 15 * SECOND, Stats())
 
     def tell(self, address: str, state: HostState = HostState.READY, started_ns: int = 0) -> None:
         host, _, port = address.rpartition(":")
