Drain on the operators' call and at SIGTERM by one path

The program ends 0.2 s after the longest deadline, before the kill; 3.2 s, as it was, came too late where deadlines are short. Tests: a drain, its end, both twice, off while leaving.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -17,7 +17,7 @@
 import uvloop
 
 from bridgesaddle import Balancer
-from bridgesaddle.api import MS, Settings
+from bridgesaddle.api import MS, SECOND, Settings
 from bridgesaddle.wire import WireError, parse_settings
 
 from .admin import Admin, Answered
@@ -31,11 +31,15 @@
 
 log = logging.getLogger("gateway")
 
-SWEEP = 500 * MS
+SWEEP = 250 * MS
 CROSSING = 600 * MS
 """After SIGTERM new connections go on coming for 0.4 s at most; they are taken for somewhat longer."""
-LEAVE = 3200 * MS
-"""And so long after SIGTERM the program ends whatever is held: SIGKILL comes from 3.7 s on."""
+LEAVE_MOST = 3 * SECOND
+LEAVE_MORE = 200 * MS
+"""So long after SIGTERM, and after the longest deadline, the program ends whatever is held.
+
+SIGKILL comes from 0.7 s after that deadline on, which counts as 3 s at most.
+"""
 RESERVE = 48
 """Descriptors for everything that is neither a client's nor a host's connection."""
 CLIENTS = 0.55
@@ -122,7 +126,9 @@
                                     not settings.ask_discovery, self.core.on_list)
         self.core.attach(self.upstream, self.discovery)
         self.server = Server(self.core, settings, int(free * CLIENTS), self.stats)
-        self.admin = Admin({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars})
+        self.admin = Admin({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars,
+                            ("POST", "/_lameduck/on"): lambda: self._drain(True),
+                            ("POST", "/_lameduck/off"): lambda: self._drain(False)})
         self._listener: asyncio.Server | None = None
         self._done = asyncio.Event()
         self._stop_at = 0
@@ -166,6 +172,15 @@
         ready = self._listener is not None and self.server.ready
         return (200, b"ready\n") if ready else (503, b"not ready\n")
 
+    def _drain(self, on: bool) -> Answered:
+        """Send clients away, or take them again; once the program is leaving it stays drained."""
+        if self._stop_at and not on:
+            return 409, b"leaving\n"
+        if self.server.draining != on:
+            log.info("clients are sent away" if on else "clients are taken again")
+        self.server.draining = on
+        return (200, b"draining\n") if on else (200, b"taking clients\n")
+
     def _vars(self) -> Answered:
         return 200, self.stats.text({"pending": self.server.pending, "members": self.upstream.listed,
                                      "members_unavailable": self.core.members_unavailable()})
@@ -187,7 +202,7 @@
         if self._stop_at:
             return
         self._stop_at = now_ns()
-        self.server.stop()
+        self._drain(True)
         self.timers.after(CROSSING, self._stop_listening, None)
 
     def _stop_listening(self, _: None) -> None:
@@ -197,8 +212,8 @@
 
     def _leave(self, _: None) -> None:
         """End once nothing is owed any more; every request has a deadline, so this ends."""
-        self.server.close_idle()
-        late = now_ns() - self._stop_at > LEAVE
+        longest = max(item.deadline_ns for item in self._config.settings.classes)
+        late = now_ns() - self._stop_at > min(longest, LEAVE_MOST) + LEAVE_MORE
         if late:
             self.core.fail_all()
         if not self.server.open or late:
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -34,6 +34,8 @@
 SPARE = 16
 """Connections above the bound that are still told, by a refusal, that there is no room."""
 IDLE = 90 * SECOND
+DRAIN_IDLE = 2 * SECOND
+"""A drained connection is closed after so long between requests: sooner, the close would cross requests."""
 LINGER = 1 * SECOND
 """How long what still arrives is thrown away after an error, so that the client can read it."""
 MAX_ID = 200
@@ -171,7 +173,7 @@
             log.error("a second answer to one request")
             return
         self.conn.server.forget(self.id)
-        self.close = self.close or (self.conn.server.stopping and self.conn.last(self))
+        self.close = self.close or (self.conn.server.draining and self.conn.last(self))
         if self.close:
             self.conn.deaf = True
         lines = [b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (status, _REASONS[status], len(body))]
@@ -408,9 +410,15 @@
                 self.transport.abort() if self._stuck_since else self.transport.close()
         elif self._in_message and not self.deaf and waited > ARRIVE:
             self._reject(BadRequest(408, "the request was too slow"))
-        elif self.between_requests() and waited > (IDLE if self._asked else ARRIVE):
+        elif self.between_requests() and waited > self._patience():
             self.transport.close()
 
+    def _patience(self) -> int:
+        """How long the connection may be between requests."""
+        if not self._asked:
+            return ARRIVE
+        return DRAIN_IDLE if self.server.draining else IDLE
+
     def close_if_idle(self) -> None:
         """Close between requests."""
         if self.transport is not None and self.between_requests():
@@ -428,7 +436,7 @@
         self.max_open = max_open
         self._connections: dict[ClientConnection, None] = {}
         self._ids: set[bytes] = set()   # of the requests that are held
-        self.stopping = False
+        self.draining = False    # clients are sent away
 
     def connection(self) -> ClientConnection:
         """The protocol of a new connection."""
@@ -453,7 +461,7 @@
     @property
     def ready(self) -> bool:
         """Whether a request could be served."""
-        return self.core.listed and not self.stopping
+        return self.core.listed and not self.draining
 
     def take(self, exchange: Exchange, method: bytes, target: bytes, headers: list[Header],
              body: bytes) -> None:
@@ -487,16 +495,6 @@
         for conn in list(self._connections):
             conn.sweep(now)
 
-    def stop(self) -> None:
-        """Unready at once; connections close between requests, and answers say so."""
-        self.stopping = True
-        self.close_idle()
-
-    def close_idle(self) -> None:
-        """Close the connections that owe nothing."""
-        for conn in list(self._connections):
-            conn.close_if_idle()
-
     @property
     def pending(self) -> int:
         """Requests that are taken and not ended."""
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -6,7 +6,10 @@
 
 import pytest
 
+from bridgesaddle.api import MS
 from gateway.admin import CALLERS
+from gateway.server import DRAIN_IDLE
+from gateway.timers import now_ns
 from tests.sockets import FakeHost, Stage, play, request
 from tests.test_server import Fails, Refuses
 
@@ -118,3 +121,64 @@
             told = await figures(stage)
             assert (told["members"], told["members_unavailable"]) == (2, 1)
     play(scene)
+
+
+ON = b"POST /_lameduck/on HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+OFF = ON.replace(b"/on ", b"/off ")
+HEALTH = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+READY = b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n"
+
+
+def test_a_drain_sends_clients_away_and_cuts_nothing() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost(reply=None)
+            await stage.begin(host, told=OPERATOR)
+            idle, busy, new = await stage.client(), await stage.client(), await stage.client()
+            assert (await idle.ask(HEALTH))[0] == 200
+            busy.send(request())
+            seen = await host.seen.get()
+            for _ in range(2):   # twice is as once
+                assert (await call(stage, ON))[0] == 200
+            assert (await call(stage, READY))[0] == 503
+            status, headers, _ = await new.ask(HEALTH)
+            assert (status, headers["connection"]) == (503, "close")
+            stage.gateway.server.sweep(now_ns() + DRAIN_IDLE + MS)
+            assert await idle.reader.read() == b""
+            seen.reply()
+            status, headers, body = await busy.answer()
+            assert (status, headers["connection"], body) == (200, "close", b"done")
+            assert await busy.reader.read() == b""
+    play(scene)
+
+
+def test_a_drain_leaves_connections_that_have_just_been_used() -> None:
+    """What is closed at once would cross requests."""
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost(), told=OPERATOR)
+            client = await stage.client()
+            assert (await client.ask(request()))[0] == 200
+            await call(stage, ON)
+            stage.gateway.server.sweep(now_ns())
+            status, headers, _ = await client.ask(request(rid="r2"))
+            assert (status, headers["connection"]) == (200, "close")
+    play(scene)
+
+
+def test_the_end_of_a_drain_brings_clients_back() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost(), told=OPERATOR)
+            await call(stage, ON)
+            for _ in range(2):
+                assert (await call(stage, OFF))[0] == 200
+            assert (await call(stage, READY))[0] == 200
+            client = await stage.client()
+            for ask in (HEALTH, request(), request(rid="r2")):
+                status, headers, _ = await client.ask(ask)
+                assert (status, headers.get("connection")) == (200, None)
+            stage.gateway.stop()
+            assert (await call(stage, OFF))[0] == 409   # it leaves all the same
+            assert (await call(stage, READY))[0] == 503
+    play(scene)
