Let a second process take over the clients while the first one serves

SO_REUSEPORT at the clients' address, a locked file each in $TMPDIR, the list before the listener, and an accept queue that is emptied before the listener closes.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -9,6 +9,7 @@
 import os
 import resource
 import signal
+import socket
 import sys
 import time
 from collections.abc import Mapping
@@ -17,12 +18,13 @@
 import uvloop
 
 from bridgesaddle import Balancer
-from bridgesaddle.api import MS, SECOND, Settings
+from bridgesaddle.api import MS, SECOND, ListKind, Settings
 from bridgesaddle.wire import WireError, parse_settings
 
 from .admin import Admin, Answered
 from .core import Core, Maker
-from .discovery import Discovery, Lines
+from .discovery import Discovery, Lines, Listed
+from .handover import Handover
 from .peers import Peers
 from .server import Server
 from .stats import Stats
@@ -44,6 +46,12 @@
 """Descriptors for everything that is neither a client's nor a host's connection."""
 CLIENTS = 0.55
 """Part of the other descriptors that clients may hold."""
+BESIDE = 1 * SECOND
+"""So often it is looked whether another process of this gateway runs."""
+BESIDE_CLIENTS = 0.65
+"""Part of its half that clients may hold while one does: most of what both hold is theirs."""
+TOLD = 3500 * MS
+"""Longest wait for the list before a process takes clients from another: a yes is wanted within 6 s."""
 LINES_PER_S = 50
 """Log lines a second: an attacker must not make the gateway spend its time on writing."""
 
@@ -114,40 +122,58 @@
         self.timers = Timers(loop)
         self.stats = Stats()
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        free = max(16, min(config.sockets, soft if soft > 0 else config.sockets) - RESERVE)
+        self._sockets = min(config.sockets, soft if soft > 0 else config.sockets)
+        self.handover = Handover(config.listen)
+        self._beside = False
+        clients, hosts = self._room()
         self.core = Core(settings, config.seed, self.timers, config.columns, make)
-        self.upstream = Upstream(loop, self.timers, int(free * (1 - CLIENTS)),
+        self.upstream = Upstream(loop, self.timers, hosts,
                                   settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns,
                                   self.stats)
         # Read once: a host's start must be the same number each time it is told.
         offset = time.monotonic_ns() - time.time_ns()
         self.discovery = Discovery(loop, self.timers, config.discovery,
                                     Lines(config.zones, config.kinds, offset),
-                                    not settings.ask_discovery, self.core.on_list)
+                                    not settings.ask_discovery, self._on_list)
         self.core.attach(self.upstream, self.discovery)
-        self.server = Server(self.core, settings, int(free * CLIENTS), self.stats)
+        self.server = Server(self.core, settings, clients, self.stats)
         self.admin = Admin({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars,
                             ("POST", "/_lameduck/on"): lambda: self._drain(True),
                             ("POST", "/_lameduck/off"): lambda: self._drain(False)})
         self._listener: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._taking: set[asyncio.Task[Any]] = set()   # connections that came with the end of the listener
+        self._told = asyncio.Event()
         self._done = asyncio.Event()
         self._stop_at = 0
 
     async def start(self) -> tuple[str, int]:
-        """Listen and begin to watch; returns the address."""
+        """Begin to watch and, once clients can be served, to listen; returns the address."""
+        self.handover.register()
+        beside = self._look()
         if self._config.operator is not None:
             self.operator = await self.admin.listen(self._loop, self._config.operator)
             log.info("operators call %s:%d", *self.operator)
         self.discovery.known(self._config.known)
         self.discovery.start()
-        host, port = self._config.listen
-        self._listener = await self._loop.create_server(self.server.connection, host, port, backlog=1024,
-                                                        reuse_address=True)
+        self.timers.after(SWEEP, self._sweep, None)
+        self.timers.after(BESIDE, self._looked, None)
+        if beside:   # the other one serves meanwhile; a bound socket would draw clients at once
+            try:
+                await asyncio.wait_for(self._told.wait(), TOLD / SECOND)
+            except TimeoutError:
+                log.warning("discovery has not told the list: the known one must do")
+        if self._stop_at:   # told to end before it took clients
+            return self._config.listen
+        self._socket = _bound(self._config.listen)
+        self._listener = await self._loop.create_server(self.server.connection, sock=self._socket,
+                                                        backlog=1024)
+        self.handover.serving()
         if self._config.settings.limits.peers and self._config.peer_listen is not None:
             self.core.peers = Peers(self._config.peers, self._config.peers_all, self.core.on_peer)
             peers = self.core.peers
-            await self._loop.create_datagram_endpoint(lambda: peers, self._config.peer_listen)
-        self.timers.after(SWEEP, self._sweep, None)
+            await self._loop.create_datagram_endpoint(lambda: peers, self._config.peer_listen,
+                                                      reuse_port=True)
         name: tuple[str, int] = self._listener.sockets[0].getsockname()[:2]
         log.info("listening on %s:%d", *name)
         return name
@@ -157,9 +183,38 @@
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)   # first: its default ends the program
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.stop)
-        await self.start()
+        try:
+            await self.start()
+        except OSError as error:
+            raise BadConfig(f"can't listen: {error}") from None
         await self._done.wait()
 
+    def _on_list(self, kind: ListKind, listed: list[Listed]) -> None:
+        self.core.on_list(kind, listed)
+        if kind is ListKind.FULL or kind is ListKind.DELTA:
+            self._told.set()
+
+    def _room(self) -> tuple[int, int]:
+        """Connections that clients and hosts may hold: two processes share the limits of one gateway."""
+        free = self._sockets // 2 - RESERVE if self._beside else self._sockets - RESERVE
+        part = BESIDE_CLIENTS if self._beside else CLIENTS
+        free = max(16, free)
+        return int(free * part), int(free * (1 - part))
+
+    def _look(self) -> bool:
+        """Look for another process of this gateway, and hold no more than is left beside it."""
+        beside = self.handover.beside()
+        if beside != self._beside:
+            log.info("another process of this gateway %s", "runs" if beside else "has ended")
+            self._beside = beside
+            self.server.max_open, self.upstream.max_open = self._room()
+            self.upstream.trim()
+        return beside
+
+    def _looked(self, _: None) -> None:
+        self._look()
+        self.timers.after(BESIDE, self._looked, None)
+
     def _sweep(self, _: None) -> None:
         now = now_ns()
         self.upstream.sweep(now)
@@ -202,12 +257,30 @@
         if self._stop_at:
             return
         self._stop_at = now_ns()
+        self._told.set()
         self._drain(True)
-        self.timers.after(CROSSING, self._stop_listening, None)
+        self.server.succeeded = self.handover.succeeded()
+        if self.server.succeeded:
+            log.info("another process takes the clients")
+            self._stop_listening(None)
+        else:
+            self.timers.after(CROSSING, self._stop_listening, None)
 
     def _stop_listening(self, _: None) -> None:
-        if self._listener is not None:
+        """Close the listener, but take what waits at it: the close would reset it unheard."""
+        waiting = []
+        if self._listener is not None and self._socket is not None:
+            try:
+                while True:
+                    waiting.append(self._socket.accept()[0])
+            except OSError:
+                pass   # none is left
             self._listener.close()
+        for sock in waiting:
+            sock.setblocking(False)
+            task = self._loop.create_task(self._loop.connect_accepted_socket(self.server.connection, sock))
+            self._taking.add(task)
+            task.add_done_callback(self._taking.discard)
         self._leave(None)
 
     def _leave(self, _: None) -> None:
@@ -216,7 +289,8 @@
         late = now_ns() - self._stop_at > min(longest, LEAVE_MOST) + LEAVE_MORE
         if late:
             self.core.fail_all()
-        if not self.server.open or late:
+        if not (self.server.open or self._taking) or late:
+            self.handover.close()
             self.admin.close()
             self.discovery.close()
             self.upstream.close()
@@ -227,6 +301,21 @@
             self.timers.after(20 * MS, self._leave, None)
 
 
+def _bound(address: tuple[str, int]) -> socket.socket:
+    """A socket for clients: another process of this gateway may listen there too."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 async def _main(config: Config) -> None:
     await Gateway(config, asyncio.get_running_loop()).run()
 
@@ -243,7 +332,11 @@
         return 2
     gc.freeze()   # what is loaded by now lives as long as the process: the collector need not look again
     gc.set_threshold(50_000, 20, 50)
-    uvloop.run(_main(config))
+    try:
+        uvloop.run(_main(config))
+    except BadConfig as error:
+        print(f"gateway: {error}", file=sys.stderr)
+        return 1
     return 0
 
 
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -437,6 +437,7 @@
         self._connections: dict[ClientConnection, None] = {}
         self._ids: set[bytes] = set()   # of the requests that are held
         self.draining = False    # clients are sent away
+        self.succeeded = False   # to another process at the same address, which still takes them
 
     def connection(self) -> ClientConnection:
         """The protocol of a new connection."""
@@ -467,7 +468,8 @@
              body: bytes) -> None:
         """A whole request has come."""
         if target.split(b"?", 1)[0] == READY and method == b"GET":
-            exchange.respond(200 if self.ready else 503, [], b"ready\n" if self.ready else b"not ready\n")
+            ready = self.ready or self.succeeded
+            exchange.respond(200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
             return
         try:
             asked = self._checks.check(method, target, headers, body)
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -284,7 +284,7 @@
         self._loop = loop
         self.stats = stats
         self._timers = timers
-        self._max_open = max_open
+        self.max_open = max_open
         self._connect_timeout = connect_timeout_ns or 250 * MS
         self._idle = int(idle_ns * IDLE_PART) if idle_ns else IDLE_DEFAULT
         self._hosts: dict[HostId, Host] = {}
@@ -330,7 +330,7 @@
             if conn.transport is not None and not conn.transport.is_closing():
                 conn.send(attempt)
                 return
-        if len(self._open) >= self._max_open and not self._evict():
+        if len(self._open) >= self.max_open and not self._evict():
             log.warning("no room for a connection: %d open", len(self._open))
             attempt.end(Outcome.CONNECT_FAILED)
             return
@@ -383,6 +383,11 @@
         if conn in conn.host.idle:
             conn.host.idle.remove(conn)
 
+    def trim(self) -> None:
+        """Close idle connections above the bound, which may have fallen."""
+        while len(self._open) > self.max_open and self._evict():
+            pass
+
     def _evict(self) -> bool:
         """Close the connection that has been idle longest, to make room for one that is needed."""
         idle = [host for host in self._hosts.values() if host.idle]
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -7,6 +7,7 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -28,14 +29,15 @@
     return config
 
 
-async def launch(path: Path, sockets: int = 0) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
+async def launch(path: Path, sockets: int = 0,
+                 **environ: str) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
     """Start the program; it prints its address once it listens."""
     def limit() -> None:
         if sockets:
             resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
     program = await asyncio.create_subprocess_exec(
         *COMMAND, cwd=ROOT, stderr=asyncio.subprocess.PIPE, preexec_fn=limit,
-        env={**os.environ, "EDGE_CONFIG": str(path)})
+        env={**os.environ, "EDGE_CONFIG": str(path), **environ})
     assert program.stderr is not None
     while True:
         line = (await program.stderr.readline()).decode()
@@ -45,6 +47,14 @@
             return program, (host, int(port))
 
 
+@pytest.fixture
+def free_port() -> int:
+    """A port that nobody listens on."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        number: int = server.getsockname()[1]
+        return number
+
+
 async def connect(where: tuple[str, int]) -> Client:
     return Client(*await asyncio.open_connection(*where))
 
@@ -155,3 +165,69 @@
         program.send_signal(signal.SIGTERM)
         assert await program.wait() == 0
     play(scene)
+
+
+async def lines_until(program: asyncio.subprocess.Process, text: str) -> str:
+    """Read the program's log up to a line with this text."""
+    assert program.stderr is not None
+    while True:
+        line = (await program.stderr.readline()).decode()
+        assert line, "the program has ended"
+        if text in line:
+            return line
+
+
+def test_a_new_process_takes_over_and_nothing_is_turned_back(tmp_path: Path, free_port: int) -> None:
+    async def scene() -> None:
+        host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
+        config = write_config(tmp_path / "c", discovery, host)
+        (tmp_path / "gateway-127.0.0.1-0-leftover").touch()
+        listen = f"127.0.0.1:{free_port}"
+        (tmp_path / "c").write_text(json.dumps({**config, "listen": listen}))
+        old, where = await launch(tmp_path / "c", TMPDIR=str(tmp_path))
+        (tmp_path / f"gateway-127.0.0.1-{free_port}-leftover").write_bytes(b"serving\n")   # of a killed one
+        _, watch = await discovery.calls.get()
+        busy, idle = await connect(where), await connect(where)
+        assert (await idle.ask(READY))[0] == 200
+        busy.send(request())
+        seen = await host.seen.get()
+        launching = asyncio.ensure_future(launch(tmp_path / "c", TMPDIR=str(tmp_path)))
+        _, watch = await discovery.calls.get()   # the new one hears of the list before it listens
+        assert not launching.done()
+        discovery.head(watch)
+        discovery.line(watch, 42, [host.row()], reset=True)
+        new, again = await launching
+        assert again == where
+        old.send_signal(signal.SIGTERM)
+        await lines_until(old, "another process takes the clients")
+        assert (await idle.ask(READY))[0] == 200   # the address still takes clients
+        late = await connect(where)
+        late.send(request(rid="late"))
+        (await host.seen.get()).reply()
+        status, headers, _ = await late.answer()
+        assert (status, headers.get("connection")) == (200, None)   # by the new one
+        seen.reply()
+        status, headers, _ = await busy.answer()
+        assert (status, headers["connection"]) == (200, "close")
+        busy.writer.close()
+        assert await old.wait() == 0
+        await lines_until(new, "another process of this gateway has ended")
+        new.send_signal(signal.SIGTERM)
+        late.writer.close()
+        assert await new.wait() == 0
+        assert [path.name for path in tmp_path.iterdir() if path.name.startswith("gateway")] == [
+            "gateway-127.0.0.1-0-leftover"]
+    play(scene)
+
+
+@pytest.mark.parametrize("taken", ["listen", "operator"])
+def test_an_address_that_is_taken_is_one_plain_line(taken: str, tmp_path: Path) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps({
+            "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": SETTINGS,
+            taken: f"127.0.0.1:{other.getsockname()[1]}"}))
+        done = subprocess.run(COMMAND, cwd=ROOT, env={**os.environ, "EDGE_CONFIG": str(path)},
+                              capture_output=True, timeout=20, text=True, check=False)
+    assert done.returncode == 1
+    assert done.stderr.splitlines()[-1].startswith("gateway: can't listen: ")
