Take changed settings at SIGHUP, whole or not at all

Classes are added, dropped and changed in one turn; open requests keep their class and attempt limit, hosts what is known of them. A file that lacks a key which the first one had, names a class twice, or has a deadline or number of attempts that is no finite number above 0 is turned down in one line and counted; nothing of it holds, discovery's address included. Only discovery's address was taken before. Tests: a reload with open requests, 32 files that are turned down.

--- a/bridgesaddle/api.py
+++ b/bridgesaddle/api.py
@@ -320,5 +320,8 @@
     def on_peer(self, now_ns: int, peer: int, content: bytes) -> None:
         """Another gateway has sent a message."""
 
+    def on_settings(self, now_ns: int, settings: Settings) -> None:
+        """New settings: they hold for requests from now on; open ones keep their class and attempt limit."""
+
     def members_unavailable(self, now_ns: int) -> int:
         """How many listed servers are avoided now.  It asks, and changes nothing."""
--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -172,6 +172,11 @@
         self.seen = 1
         self.sent_at = 0
 
+    def learn_from(self, other: _Class) -> None:
+        """Of a class that had this name: what was seen of it, not its rules."""
+        self.missed, self.asked, self.sent_at = other.missed, other.asked, other.sent_at
+        self.mean, self.spread, self.usual, self.seen = other.mean, other.spread, other.usual, other.seen
+
 
 class _Tenant:
     """A tenant's credit within its allowance, as far as it falls to this gateway."""
@@ -188,11 +193,13 @@
     """A request this gateway owes an answer."""
 
     __slots__ = ("aim", "anchor", "anchor_at", "attempts", "born", "cls", "deadline", "done", "due", "gaps",
-                 "held", "hint", "last", "live", "over", "rid", "sent_at", "streaming", "t1", "tenant",
-                 "usual_t1")
+                 "held", "hint", "last", "live", "most", "over", "rid", "sent_at", "streaming", "t1",
+                 "tenant", "usual_t1")
 
-    def __init__(self, rid: int, cls: _Class, born: int, ttl: int, hint: int, tenant: _Tenant | None) -> None:
+    def __init__(self, rid: int, cls: _Class, born: int, ttl: int, hint: int, tenant: _Tenant | None,
+                 most: int) -> None:
         self.rid = rid
+        self.most = most    # attempts: the limit it came under
         self.cls = cls
         self.born = born
         self.aim = cls.aim + int(cls.stretch * hint)
@@ -238,7 +245,6 @@
     """The decisions of one gateway: the `Decisions` of api.py."""
 
     def __init__(self, settings: Settings, salt: int, actions: Actions) -> None:
-        self._set = settings
         self._act = actions
         self._random = Random(salt).random
         self._now = 0
@@ -246,15 +252,10 @@
         self._timers: dict[int, _Request | _Attempt | None] = {}
         self._out: dict[tuple[int, int], _Attempt] = {}
         self._requests: dict[int, _Request] = {}
-        self._classes = [_Class(c.effect, c.group, c.window_ns, c.aim_ns, c.stream, c.worth,
-                                c.late_worth, c.aim_stretch)
-                         for c in settings.classes]
-        self._tenants = [_Tenant(t.quota_per_s / settings.replicas) if t.quota_per_s else None
-                         for t in settings.tenants]
+        self._classes: list[_Class] = []
+        self._tenants: list[_Tenant | None] = []
         self._servers: dict[HostId, _Server] = {}
-        self._ready: list[list[_Server]] = [[] for _ in range(settings.zones)]
         self._remote: list[_Server] = []
-        self._users = [1.0] * settings.zones   # gateways for each server of a zone
         self._cells: dict[int, list[_Server]] = {}
         self._near = _Pool()
         self._far = _Pool()
@@ -265,14 +266,45 @@
         self._served = 0.0       # answers a second for each warm server, smoothed
         self._served_at = 0
         self._fair = 1.0         # servers for each gateway
-        # A root of what one gateway has in flight, less its part of a root of what all have.
-        self._apart = 1.0 - 1.0 / sqrt(settings.replicas)
         self._work = 0.0         # usual time of an answer, all classes, smoothed
         self._able_n = 1.0
         self._able_until = 0
         self._missed = 0.0       # share of requests within allowances that miss their aim, smoothed
-        fields = settings.report_fields
-        self._at = {name: fields.index(name) for name in fields}
+        self._take(settings, {}, {})
+
+    def _take(self, settings: Settings, classes: dict[str, _Class],
+              tenants: dict[str, _Tenant | None]) -> None:
+        """What follows from the settings alone; classes and tenants of before keep what was learnt."""
+        self._set = settings
+        self._classes = []
+        for told in settings.classes:
+            cls = _Class(told.effect, told.group, told.window_ns, told.aim_ns, told.stream, told.worth,
+                         told.late_worth, told.aim_stretch)
+            if told.name in classes:   # a new one all the same: open requests keep the rules they came under
+                cls.learn_from(classes[told.name])
+            self._classes.append(cls)
+        self._tenants = []
+        for tenant in settings.tenants:
+            rate = tenant.quota_per_s / settings.replicas
+            known = tenants.get(tenant.name)
+            self._tenants.append(known if known is not None and known.rate == rate
+                                 else _Tenant(rate) if rate else None)
+        self._ready: list[list[_Server]] = [[] for _ in range(settings.zones)]
+        self._users = [1.0] * settings.zones   # gateways for each server of a zone
+        # A root of what one gateway has in flight, less its part of a root of what all have.
+        self._apart = 1.0 - 1.0 / sqrt(settings.replicas)
+        self._at = {name: at for at, name in enumerate(settings.report_fields)}
+
+    def on_settings(self, now_ns: int, settings: Settings) -> None:
+        """New settings, for requests from now on; what is known of servers stands."""
+        now = self._tick(now_ns)
+        old, asked = self._set, self._set.ask_discovery
+        self._take(settings, {told.name: cls for told, cls in zip(old.classes, self._classes, strict=True)},
+                   {told.name: has for told, has in zip(old.tenants, self._tenants, strict=True)})
+        self._index()
+        if settings.ask_discovery and not asked and not self._watching:
+            self._ask_later(now)
+        self._release(now)
 
     # ---- 1. Fleet: the list, drains, cold hosts, asking discovery -------------------------------
 
@@ -461,7 +493,8 @@
         if rid in self._requests:
             raise ValueError(f"rid {rid} is already held")
         request = _Request(rid, self._classes[cls], now, ttl_ns, hint_ns,
-                           self._tenants[tenant] if self._tenants else None)
+                           self._tenants[tenant] if self._tenants else None,
+                           self._set.limits.max_attempts)
         request.t1 = self._t1(request)
         request.over = self._over_share(request, now)
         self._requests[rid] = request
@@ -565,7 +598,7 @@
         self._due(request, now + gap, now)
 
     def _due(self, request: _Request, due: int, now: int) -> None:
-        if due >= request.deadline - self._set.tick_ns or request.attempts >= self._set.limits.max_attempts:
+        if due >= request.deadline - self._set.tick_ns or request.attempts >= request.most:
             self._end(request, now)
             return
         request.due = due
@@ -585,7 +618,7 @@
         to_aim = request.born + request.aim - now
         if (cls.effect is Effect.UNSAFE or cls.stream or 2 * timer > left
                 or timer + request.expected(0.0) > to_aim
-                or request.attempts >= self._set.limits.max_attempts):
+                or request.attempts >= request.most):
             return 0
         if cls.effect is Effect.KEYED and now + timer >= (request.anchor_at or now) + cls.window:
             return 0
@@ -597,10 +630,9 @@
         """Whether the four rules allow an attempt of this request at this server now."""
         if request.done or request.streaming or server.state is not HostState.READY:
             return False
-        limits = self._set.limits
-        if request.attempts >= limits.max_attempts or now >= request.deadline:
+        if request.attempts >= request.most or now >= request.deadline:
             return False
-        if request.live and not limits.second_copies:
+        if request.live and not self._set.limits.second_copies:
             return False
         anchor = request.anchor
         if anchor is not None:
--- a/bridgesaddle/wire.py
+++ b/bridgesaddle/wire.py
@@ -241,12 +241,20 @@
         self._add(_O_TEXT.pack(code, self._who, len(body)) + body)
 
 
+def _above_zero(value: Any) -> float:
+    """Guards against deadlines and limits of attempts that text, true or an infinity would be taken for."""
+    if isinstance(value, bool) or not isinstance(value, int | float) or not isfinite(value) or value <= 0:
+        raise ValueError(f"{value!r} is no number above 0")
+    number: float = value
+    return number
+
+
 def _classes(rows: list[dict[str, Any]]) -> tuple[RequestClass, ...]:
     return tuple(
         RequestClass(
             name=str(row.get("name", index)),
-            aim_ns=int(row.get("slo-ns", row["give-up-ns"])),
-            deadline_ns=int(row["give-up-ns"]),
+            aim_ns=int(_above_zero(row.get("slo-ns", row["give-up-ns"]))),
+            deadline_ns=int(_above_zero(row["give-up-ns"])),
             effect=_EFFECTS[row["effect"]],
             group=Group(row.get("group", "all")),
             window_ns=int(row.get("window-ns", 0)),
@@ -260,7 +268,7 @@
 
 def _limits(caps: dict[str, Any]) -> Limits:
     return Limits(
-        max_attempts=int(caps.get("max-attempts", 3)),
+        max_attempts=int(_above_zero(caps.get("max-attempts", 3))),
         cancel=bool(caps.get("cancel", False)),
         second_copies=bool(caps.get("may-duplicate", False)),
         probes=bool(caps.get("probes", False)),
--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -68,6 +68,7 @@
             self.path = environ["EDGE_CONFIG"]
             with open(self.path, "rb") as file:
                 told: dict[str, Any] = json.load(file)
+            self.told = told
             self.listen = _address(environ.get("EDGE_LISTEN") or told["listen"])
             self.discovery = _address(environ.get("EDGE_DISCOVERY") or told["discovery"])
             self.seed = int(str(told.get("seed", "0")), 16)
@@ -88,6 +89,33 @@
             raise BadConfig(f"{error} is missing") from None
         except (OSError, ValueError, TypeError, AttributeError, RecursionError, WireError) as error:
             raise BadConfig(str(error)) from None
+        names = [item.name for item in self.settings.classes]
+        if len(set(names)) < len(names):
+            raise BadConfig("two classes of one name")
+
+    def follow(self, old: Config) -> None:
+        """Raises BadConfig where this lacks a key that the first one had: guards against half a file."""
+        missing = sorted(_missing(old.told, self.told, ""))
+        if missing:
+            raise BadConfig(f"{', '.join(missing)} is missing")
+
+
+MAY_GO = frozenset(("operator", "peers", "peers_all", "peer_listen", "aim-stretch", "family-info"))
+"""Keys that a later configuration need not have."""
+
+
+def _missing(old: Any, new: Any, path: str) -> set[str]:
+    """Keys that the old one has and the new one lacks; what all classes had, all have to have."""
+    if isinstance(old, dict):
+        if not isinstance(new, dict):
+            return {path}
+        return {lack for key in old if key not in MAY_GO
+                for lack in (_missing(old[key], new[key], f"{path}.{key}".lstrip(".")) if key in new
+                             else {f"{path}.{key}".lstrip(".")})}
+    if path == "settings.request-classes":
+        keys = set.intersection(*(set(row) for row in old))
+        return {lack for row in new for lack in _missing(dict.fromkeys(keys), row, path)}
+    return set()
 
 
 def _address(text: str) -> tuple[str, int]:
@@ -119,6 +147,7 @@
         settings = config.settings
         self._loop = loop
         self._config = config
+        self._settings = settings
         self.timers = Timers(loop)
         self.stats = Stats()
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -131,9 +160,9 @@
                                   settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns,
                                   self.stats)
         # Read once: a host's start must be the same number each time it is told.
-        offset = time.monotonic_ns() - time.time_ns()
+        self._offset = time.monotonic_ns() - time.time_ns()
         self.discovery = Discovery(loop, self.timers, config.discovery,
-                                    Lines(config.zones, config.kinds, offset),
+                                    Lines(config.zones, config.kinds, self._offset),
                                     not settings.ask_discovery, self._on_list)
         self.core.attach(self.upstream, self.discovery)
         self.server = Server(self.core, settings, clients, self.stats)
@@ -241,16 +270,22 @@
                                      "members_unavailable": self.core.members_unavailable()})
 
     def reload(self) -> None:
-        """SIGHUP: discovery may have moved; a file that can't be read changes nothing."""
+        """SIGHUP: settings may have changed, discovery moved; a file that is not right changes nothing."""
         try:   # the file alone: what the environment says of discovery is from the start
             told = Config({"EDGE_CONFIG": self._config.path})
+            told.follow(self._config)
         except BadConfig as error:
             self.stats.config_reload_errors += 1
-            log.warning("SIGHUP: the configuration stays as it was: %s", error)
+            log.warning("SIGHUP: the configuration stays as it was: %s", " ".join(str(error).split()))
             return
         self.stats.config_reloads += 1
         log.info("SIGHUP: discovery is at %s:%d", *told.discovery)
-        self.discovery.move(told.discovery)
+        settings = self._settings = told.settings
+        self.server.on_settings(settings)
+        self.upstream.on_settings(settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns)
+        self.core.on_settings(settings, told.columns)
+        self.discovery.move(told.discovery, Lines(told.zones, told.kinds, self._offset),
+                            not settings.ask_discovery)
 
     def stop(self) -> None:
         """SIGTERM: unready at once, but what crosses it on the way is still taken and answered."""
@@ -285,7 +320,7 @@
 
     def _leave(self, _: None) -> None:
         """End once nothing is owed any more; every request has a deadline, so this ends."""
-        longest = max(item.deadline_ns for item in self._config.settings.classes)
+        longest = max(item.deadline_ns for item in self._settings.classes)
         late = now_ns() - self._stop_at > min(longest, LEAVE_MOST) + LEAVE_MORE
         if late:
             self.core.fail_all()
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -88,10 +88,12 @@
 class Request:
     """A request that is held; it stays in the table until its attempts have ended too."""
 
-    __slots__ = ("attempts", "closing", "deadline", "exchange", "out", "payload", "rid")
+    __slots__ = ("attempts", "closing", "deadline", "exchange", "most", "out", "payload", "rid")
 
-    def __init__(self, rid: int, exchange: Exchange, payload: tuple[bytes, bytes], deadline: int) -> None:
+    def __init__(self, rid: int, exchange: Exchange, payload: tuple[bytes, bytes], deadline: int,
+                 most: int) -> None:
         self.rid = rid
+        self.most = most   # attempts: the limit it came under
         self.exchange: Exchange | None = exchange   # None once the answer is given or the client has gone
         self.payload = payload
         self.deadline = deadline
@@ -108,21 +110,24 @@
 
     def __init__(self, settings: Settings, salt: int, timers: Timers, columns: Sequence[str] = (),
                  make: Maker = Balancer) -> None:
-        self._settings = settings
         self._timers = timers
         self._events: deque[tuple[Callable[..., None], Request | None, tuple[Any, ...]]] = deque()
         self._busy = False
         self._now = 0
         self._rid = 0
         self._requests: dict[int, Request] = {}
-        self._max_open = min(MAX_OPEN, settings.limits.open_cap or MAX_OPEN)
-        self.loads = Loads(columns, settings.report_fields)
+        self._take(settings, columns)
         self.peers: Peers | None = None
         self.upstream: Upstream
         self.discovery: Discovery
         self.listed = False
         self._module = make(settings, salt, self)
 
+    def _take(self, settings: Settings, columns: Sequence[str]) -> None:
+        self._settings = settings
+        self._max_open = min(MAX_OPEN, settings.limits.open_cap or MAX_OPEN)
+        self.loads = Loads(columns, settings.report_fields)
+
     def attach(self, upstream: Upstream, discovery: Discovery) -> None:
         """The sockets that the actions act on."""
         self.upstream = upstream
@@ -149,6 +154,11 @@
         finally:
             self._busy = False
 
+    def on_settings(self, settings: Settings, columns: Sequence[str]) -> None:
+        """New settings; open requests keep those they came under."""
+        self._take(settings, columns)
+        self._event(self._module.on_settings, None, settings)
+
     def on_list(self, kind: ListKind, listed: list[Listed]) -> None:
         """Discovery has spoken; the sockets follow the list before anything more is sent."""
         if kind is not ListKind.FAILED:
@@ -164,7 +174,7 @@
         self._rid = rid = (self._rid + 1) & 0xFFFFFFFF
         now = now_ns()
         ttl = max(asked.ttl_ns - MARGIN, asked.ttl_ns // 2)
-        request = Request(rid, exchange, asked.payload, now + ttl)
+        request = Request(rid, exchange, asked.payload, now + ttl, self._settings.limits.max_attempts)
         self._requests[rid] = request
         self._timers.at(now + max(asked.ttl_ns - LAST_CALL, asked.ttl_ns * 3 // 4), self._last_call, request)
         self._event(self._module.on_request, request, rid, asked.cls, asked.tenant, asked.key, ttl,
@@ -262,7 +272,7 @@
         attempt = Attempt(host, number, request.payload, self._now, due,
                           lambda attempt, outcome, answer: self._ended(request, attempt, outcome, answer))
         request.out[number] = attempt
-        if request.exchange is None or request.closing or number >= self._settings.limits.max_attempts:
+        if request.exchange is None or request.closing or number >= request.most:
             attempt.end(Outcome.MOOT)   # never after the answer, nor for a client that may have gone
             return
         self._timers.at(due, self._expire, attempt)
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -50,6 +50,7 @@
     """Turns discovery's objects into entries; names become the numbers of the settings."""
 
     def __init__(self, zones: Sequence[str], kinds: Sequence[str], clock_offset_ns: int) -> None:
+        self.names = (tuple(zones), tuple(kinds))
         self._zones = {name: index for index, name in enumerate(zones)}
         self._kinds = {name: index for index, name in enumerate(kinds)}
         self._offset = clock_offset_ns   # monotonic less Unix time: fixed, so that a start keeps its time
@@ -203,13 +204,16 @@
         if self._fetch is None:
             self._fetch = self._call(False)
 
-    def move(self, address: tuple[str, int]) -> None:
+    def move(self, address: tuple[str, int], lines: Lines, pushed: bool) -> None:
         """Discovery is elsewhere now: its calls end there and begin here, a watch at once and from the start.
 
         The module is told nothing: it would wait before it asks again, and versions may be counted anew.
+        So it is where zones or kinds have other numbers: the whole list is wanted in the new ones.
         """
-        if address == self._address:
+        self._pushed = pushed
+        if address == self._address and lines.names == self._lines.names:
             return
+        self._lines = lines
         self._address = address
         self.authority = f"{address[0]}:{address[1]}"
         self.generation = 0
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -431,14 +431,18 @@
     def __init__(self, core: Core, settings: Settings, max_open: int, stats: Stats) -> None:
         self.core = core
         self.stats = stats
-        stats.name(item.name for item in settings.classes)
-        self._checks = Checks(settings)
+        self.on_settings(settings)
         self.max_open = max_open
         self._connections: dict[ClientConnection, None] = {}
         self._ids: set[bytes] = set()   # of the requests that are held
         self.draining = False    # clients are sent away
         self.succeeded = False   # to another process at the same address, which still takes them
 
+    def on_settings(self, settings: Settings) -> None:
+        """New settings: whoever comes now is judged by them."""
+        self.stats.name(item.name for item in settings.classes)
+        self._checks = Checks(settings)
+
     def connection(self) -> ClientConnection:
         """The protocol of a new connection."""
         return ClientConnection(self)
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -285,12 +285,16 @@
         self.stats = stats
         self._timers = timers
         self.max_open = max_open
-        self._connect_timeout = connect_timeout_ns or 250 * MS
-        self._idle = int(idle_ns * IDLE_PART) if idle_ns else IDLE_DEFAULT
+        self.on_settings(connect_timeout_ns, idle_ns)
         self._hosts: dict[HostId, Host] = {}
         self._open: set[Connection] = set()
         self.opened = 0
 
+    def on_settings(self, connect_timeout_ns: int, idle_ns: int) -> None:
+        """How long a connection may take to come up, and after how long hosts close it; 0: not told."""
+        self._connect_timeout = connect_timeout_ns or 250 * MS
+        self._idle = int(idle_ns * IDLE_PART) if idle_ns else IDLE_DEFAULT
+
     def apply(self, whole: bool, listed: Iterable[Listed]) -> None:
         """Take in the list before anything more is sent; connections to what is gone are dropped."""
         seen = set()
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -16,6 +16,7 @@
     Group,
     HostId,
     HostState,
+    Limits,
     ListKind,
     Outcome,
     Rules,
@@ -586,3 +587,40 @@
     dears, cheaps = (sum(gateway.ends.get(rid) == "served" for rid in rids) for rids in asked)
     assert cheaps > dears / 2
     assert not gateway.broken
+
+
+def test_new_settings_leave_open_requests_their_class_and_attempt_limit() -> None:
+    before = some_settings(a_class(name="a"), a_class(Effect.UNSAFE, name="b"), limits=Limits(max_attempts=3))
+    gateway = Gateway(before, [entry(f"h{n}") for n in range(6)])
+    settle(gateway, 20, 20 * MS)
+    learnt = gateway.module._classes[0].mean
+    safe, unsafe = gateway.request(cls=0), gateway.request(cls=1)
+    after = some_settings(a_class(Effect.UNSAFE, name="a"), a_class(name="c"), limits=Limits(max_attempts=1))
+    gateway.module.on_settings(gateway.now, after)
+    assert gateway.module._classes[0].mean == learnt
+    sent = len(gateway.sends)
+    gateway.outcome(safe, Outcome.RESET)
+    gateway.outcome(unsafe, Outcome.RESET)
+    gateway.run(gateway.now + SECOND)
+    assert [rid for rid, _, _ in gateway.sends[sent:]] == [safe]   # tried again; the unsafe one never
+    late = gateway.request(cls=0)
+    gateway.outcome(late, Outcome.CONNECT_FAILED)
+    gateway.run(gateway.now + 2 * SECOND)
+    assert gateway.ends[late] == "refuse"
+    assert [rid for rid, _, _ in gateway.sends].count(late) == 1
+    assert not gateway.broken
+
+
+def test_servers_that_fail_or_drain_are_told_as_unavailable() -> None:
+    hosts = [entry(f"h{n}") for n in range(4)] + [entry("leaving", state=HostState.DRAINING)]
+    gateway = Gateway(some_settings(), hosts)
+    assert gateway.module.members_unavailable(gateway.now) == 1
+    for _ in range(40):   # one server fails, the others answer
+        rid = gateway.request()
+        gateway.run(gateway.now + 20 * MS)
+        while gateway.held[rid].out:
+            host = gateway.held[rid].out[min(gateway.held[rid].out)]
+            gateway.outcome(rid, Outcome.ERROR if host == "h0" else Outcome.OK, spent_ns=20 * MS)
+            gateway.run(gateway.now + 400 * MS)
+        gateway.run(gateway.now + 5 * MS)
+    assert gateway.module.members_unavailable(gateway.now) == 2
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -165,7 +165,7 @@
         left = [await old.calls.get() for _ in range(2)]
         new = await FakeDiscovery().start()
         host, _, port = new.address.rpartition(":")
-        discovery.move((host, int(port)))
+        discovery.move((host, int(port)), Lines(["a"], [], 0), False)
         calls = dict([await new.calls.get() for _ in range(2)])
         assert sorted(first.split()[1] for first in calls) == [
             "/registry/instances", "/registry/instances?watch=1&from=0"]
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -15,10 +15,11 @@
 
 import pytest
 
-from tests.sockets import SETTINGS, Client, FakeDiscovery, FakeHost, play, request
+from tests.sockets import OK, SETTINGS, Client, FakeDiscovery, FakeHost, play, request
 
 ROOT = Path(__file__).parent.parent
 COMMAND = [sys.executable, "-B", "-m", "gateway"]
+LAST = OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
 READY = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -231,3 +232,92 @@
                               capture_output=True, timeout=20, text=True, check=False)
     assert done.returncode == 1
     assert done.stderr.splitlines()[-1].startswith("gateway: can't listen: ")
+
+
+async def hup(program: asyncio.subprocess.Process) -> str:
+    """SIGHUP, and what the program says of it."""
+    program.send_signal(signal.SIGHUP)
+    return await lines_until(program, "SIGHUP")
+
+
+async def operator_figures(port: int) -> dict[str, int]:
+    """The figures, from the operators' address."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n")
+    body = (await reader.read()).partition(b"\r\n\r\n")[2].decode()
+    writer.close()
+    return {name: int(value) for name, _, value in (line.partition("=") for line in body.splitlines())}
+
+
+def test_classes_are_added_dropped_and_changed_at_sighup(tmp_path: Path, free_port: int) -> None:
+    async def scene() -> None:
+        host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
+        told = write_config(tmp_path / "c", discovery, host)
+        told["operator"] = f"127.0.0.1:{free_port}"
+        (tmp_path / "c").write_text(json.dumps(told))
+        program, where = await launch(tmp_path / "c")
+        early, client = await connect(where), await connect(where)
+        early.send(request(rid="early"))
+        seen = await host.seen.get()
+        read, keyed, once = SETTINGS["request-classes"]
+        told["settings"] = {**SETTINGS, "request-classes": [
+            {**keyed, "name": "new"}, {**once, "effect": "read_like"}]}
+        (tmp_path / "c").write_text(json.dumps(told))
+        assert "discovery is at" in await hup(program)
+        seen.reply(LAST)
+        assert (await early.answer())[0] == 200   # it came under the old rules
+        assert (await client.ask(request(rid="r1")))[0] == 404          # dropped
+        assert (await client.ask(request("once", rid="r2")))[0] == 400   # safe now: it comes as GET
+        as_get = request("read", rid="r3", X_Priority_Class="once").replace(b"GET /read", b"GET /once")
+        as_keyed = request("keyed", rid="r4", X_Priority_Class="new").replace(b"/keyed", b"/new")
+        for data in (as_get, as_keyed):
+            client.send(data)
+            (await host.seen.get()).reply(LAST)
+            assert (await client.answer())[0] == 200
+        figures = await operator_figures(free_port)
+        assert {name: figures[f"svc.{name}"] for name in (
+            "downstream_requests.read.completed", "downstream_requests.new.completed",
+            "downstream_requests.once.completed", "config_reloads", "config_reload_errors")} == {
+            "downstream_requests.read.completed": 1, "downstream_requests.new.completed": 1,
+            "downstream_requests.once.completed": 1, "config_reloads": 1, "config_reload_errors": 0}
+        early.writer.close()
+        client.writer.close()
+        program.send_signal(signal.SIGTERM)
+        assert await program.wait() == 0
+    play(scene)
+
+
+def test_a_file_that_is_not_right_is_turned_down_whole(tmp_path: Path, free_port: int) -> None:
+    async def scene() -> None:
+        host, discovery = await FakeHost().start(), await FakeDiscovery().start()
+        elsewhere = await FakeDiscovery().start()
+        told = write_config(tmp_path / "c", discovery, host)
+        told["operator"] = f"127.0.0.1:{free_port}"
+        (tmp_path / "c").write_text(json.dumps(told))
+        program, where = await launch(tmp_path / "c")
+        told["discovery"] = elsewhere.address
+        rows, caps = SETTINGS["request-classes"], SETTINGS["caps"]
+
+        def changed(**settings: Any) -> str:
+            return json.dumps({**told, "settings": {**SETTINGS, **settings}})
+        bad = ["", json.dumps(told)[:-30], "[]", json.dumps({**told, "settings": {}}),
+               json.dumps({key: value for key, value in told.items() if key != "discovery"}),
+               changed(caps={key: value for key, value in caps.items() if key != "max-attempts"}),
+               changed(**{"request-classes": [rows[0], {**rows[1], "name": "read"}]})]
+        bad += [changed(**{"request-classes": [{key: rows[0][key] for key in rows[0] if key != lack}]})
+                for lack in rows[0]]
+        for value in ("5", None, True, float("nan"), float("inf"), 0, -1, [3], 10 ** 400):
+            bad += [changed(caps={**caps, "max-attempts": value}),
+                    changed(**{"request-classes": [{**rows[0], "give-up-ns": value}, *rows[1:]]})]
+        for text in bad:
+            (tmp_path / "c").write_text(text)
+            assert "stays as it was: " in await hup(program), text
+        figures = await operator_figures(free_port)
+        assert (figures["svc.config_reloads"], figures["svc.config_reload_errors"]) == (0, len(bad))
+        client = await connect(where)
+        assert (await client.ask(request("once")))[0] == 200
+        assert elsewhere.calls.empty()
+        client.writer.close()
+        program.send_signal(signal.SIGTERM)
+        assert await program.wait() == 0
+    play(scene)
