--- a/bridgesaddle/api.py
+++ b/bridgesaddle/api.py
@@ -300,6 +300,15 @@
         Raises ValueError for a class or tenant the settings do not name and for an id that is still held.
         """
 
+    def on_body(self, now_ns: int, rid: int, attempt: int) -> None:
+        """A long body is sent on that still comes and is held no longer: this attempt is the last one.
+
+        Neither its time-out nor the deadline runs until `on_whole`.
+        """
+
+    def on_whole(self, now_ns: int, rid: int, ttl_ns: int) -> None:
+        """The last byte of a long body has come: the request's time begins now, with so much of it."""
+
     def on_first(self, now_ns: int, rid: int, attempt: int) -> None:
         """A streamed answer has begun: the request is bound to this attempt and has no deadline now."""
 
--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -192,19 +192,18 @@
 class _Request:
     """A request this gateway owes an answer."""
 
-    __slots__ = ("aim", "anchor", "anchor_at", "attempts", "born", "cls", "deadline", "done", "due", "gaps",
-                 "held", "hint", "last", "live", "most", "over", "rid", "sent_at", "streaming", "t1",
-                 "tenant", "usual_t1")
+    __slots__ = ("aim", "anchor", "anchor_at", "attempts", "born", "cls", "deadline", "done", "due",
+                 "first_at", "gaps", "held", "hint", "last", "live", "most", "over", "rid", "sent_at",
+                 "streaming", "t1", "tenant", "usual_t1")
 
     def __init__(self, rid: int, cls: _Class, born: int, ttl: int, hint: int, tenant: _Tenant | None,
                  most: int) -> None:
         self.rid = rid
         self.most = most    # attempts: the limit it came under
         self.cls = cls
-        self.born = born
         self.aim = cls.aim + int(cls.stretch * hint)
-        # Where an answer past its aim is worth nothing, work past the aim is waste: the aim is the deadline.
-        self.deadline = born + (ttl if cls.late or cls.stream else min(ttl, self.aim))
+        self.begin(born, ttl)
+        self.first_at = 0   # when a streamed answer began
         self.hint = hint
         self.tenant = tenant
         self.over = False   # beyond its tenant's allowance
@@ -222,6 +221,12 @@
         self.held = False
         self.done = False
 
+    def begin(self, born: int, ttl: int) -> None:
+        """Its time begins."""
+        self.born = born
+        # Where an answer past its aim is worth nothing, work past the aim is waste: the aim is the deadline.
+        self.deadline = born + (ttl if self.cls.late or self.cls.stream else min(ttl, self.aim))
+
     def expected(self, deviations: float) -> float:
         """The latency of this request, so many mean deviations from its class's mean; 0 before any answer."""
         return (self.cls.mean + deviations * self.cls.spread) * (self.hint or 1)
@@ -703,11 +708,47 @@
     # ---- 6. What becomes of attempts --------------------------------------------------------------
 
     def on_first(self, now_ns: int, rid: int, attempt: int) -> None:
-        """A streamed answer has begun."""
-        self._tick(now_ns)
+        """A streamed answer has begun: its host has done its part, however long the client takes to read."""
+        now = self._tick(now_ns)
+        request = self._requests.get(rid)
+        if request is not None and attempt in request.live:
+            request.streaming = True
+            request.first_at = now
+            self._count(self._out[rid, attempt], False)
+            self._release(now)
+
+    def on_body(self, now_ns: int, rid: int, attempt: int) -> None:
+        """A long body is no longer held: bound to this attempt, whose host begins once it has come whole."""
+        now = self._tick(now_ns)
         request = self._requests.get(rid)
         if request is not None and attempt in request.live:
             request.streaming = True
+            request.most = request.attempts
+            self._count(self._out[rid, attempt], False)
+            self._release(now)
+
+    def on_whole(self, now_ns: int, rid: int, ttl_ns: int) -> None:
+        """A long body has come whole: from here on it is a request like any other, but for its attempts."""
+        now = self._tick(now_ns)
+        request = self._requests.get(rid)
+        if request is None or request.first_at:
+            return
+        request.streaming = False
+        request.begin(now, ttl_ns)
+        if request.live:
+            request.sent_at = request.anchor_at = now
+        self._wake(request, request.deadline - now - self._set.tick_ns)
+        for number in request.live:
+            attempt = self._out[rid, number]
+            self._count(attempt, True)
+            if request.deadline - now > request.t1:
+                self._wake(attempt, request.t1)
+
+    def _count(self, attempt: _Attempt, work: bool) -> None:
+        """Whether an attempt counts against its pool's limit: not while only bytes go to or from its host."""
+        if attempt.silent is work:
+            attempt.silent = not work
+            attempt.pool.inflight += 1 if work else -1
 
     def on_outcome(self, now_ns: int, rid: int, attempt: int, host: HostId, outcome: Outcome,
                    spent_ns: int, settled: bool, load: Sequence[float]) -> None:
@@ -717,8 +758,7 @@
         if ended is None:
             return
         ended.server.inflight -= 1
-        if not ended.silent:
-            ended.pool.inflight -= 1
+        self._count(ended, False)
         ended.request.live.discard(attempt)
         self._ended(ended, outcome, spent_ns, settled, load, now)
         self._release(now)
@@ -727,7 +767,7 @@
                load: Sequence[float], now: int) -> None:
         request, server = attempt.request, attempt.server
         patience = min(request.t1, request.expected(1.0)) if request.cls.mean else request.t1
-        if outcome is Outcome.CANCELLED and spent_ns >= patience:
+        if outcome is Outcome.CANCELLED and spent_ns >= patience and not request.streaming:
             # The client left or time ran out; the server was silent all the same.  Guards against sick ones
             # that are seen only by requests that were held, or came with less time than T1.
             outcome = Outcome.TIMEOUT
@@ -739,14 +779,16 @@
         elif outcome is not Outcome.CANCELLED and outcome is not Outcome.MOOT and not attempt.overdue:
             self._failed_one(request, server, outcome, spent_ns, now)
         if settled:
-            self._drop(request, outcome is not Outcome.OK or now > request.born + request.aim)
+            at = request.first_at or now   # a long answer is timed by its first bytes
+            self._drop(request, outcome is not Outcome.OK or at > request.born + request.aim)
         if request.done:
             return
         if outcome in NEVER_RAN and not request.live and request.anchor is server \
                 and request.anchor_at == request.sent_at:
             request.anchor = None
-        if request.streaming or request.live:
+        if request.live:
             return
+        request.streaming = False   # what was to be sent on with this attempt is gone: the end follows
         gap = request.t1 << min(request.gaps, MAX_DOUBLINGS)
         request.gaps += 1
         self._due(request, request.sent_at + gap, now)
@@ -925,8 +967,7 @@
             self._observe(attempt.server, t1, t1, now, failed=True)
             attempt.overdue = True
             if attempt.server.bad > BAD:
-                attempt.silent = True
-                attempt.pool.inflight -= 1
+                self._count(attempt, False)
                 self._release(now)
 
     def _doomed(self, request: _Request, now: int) -> bool:
--- /dev/null
+++ b/gateway/body.py
@@ -0,0 +1,89 @@
+"""The body of a long request on its way from a client to a host."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+KEPT = 64 * 1024
+"""So much of a body is held to be sent again; bytes.  Shorter ones are never streamed."""
+
+
+class Sink(Protocol):
+    """Where a body goes: a connection to a host."""
+
+    def more(self, data: bytes) -> None:
+        """Some more of the body."""
+
+    def last(self) -> None:
+        """The body is whole."""
+
+    @property
+    def clogged(self) -> bool:
+        """Whether the host does not take what it is given."""
+
+
+class Body:
+    """Holds the start until more has come than is kept: from then on it is bound to one attempt."""
+
+    def __init__(self, length: int | None, start: bytes, steer: Callable[[], None]) -> None:
+        self.length = length          # None: told by chunks
+        self.kept = bytearray(start)  # all that has come, as long as it may be sent again
+        self.bound = False
+        self.whole = False
+        self.over = False             # nobody wants it any more: what still comes is thrown away
+        self.on_bound: Callable[[], None] = lambda: None
+        self._sink: Sink | None = None
+        self._steer = steer           # the client may be read again, or no longer
+
+    @property
+    def full(self) -> bool:
+        """Whether no more is wanted now."""
+        if self.over:
+            return False
+        return self._sink.clogged if self._sink is not None else len(self.kept) >= KEPT
+
+    def feed(self, data: bytes) -> None:
+        """Some more has come."""
+        if self.over:
+            return
+        sink = self._sink
+        if self.bound and sink is None:
+            return   # its attempt has just ended: so will the request
+        if sink is None or (not self.bound and len(self.kept) + len(data) <= KEPT):
+            self.kept += data
+        elif not self.bound:
+            self.bound = True
+            self.kept.clear()
+            self.on_bound()
+        if sink is not None:
+            sink.more(data)
+
+    def finish(self) -> None:
+        """It has come whole."""
+        self.whole = True
+        if self._sink is not None and not self.over:
+            self._sink.last()
+
+    def attach(self, sink: Sink) -> bytes:
+        """An attempt begins; returns what it has to send first."""
+        self._sink = sink
+        return bytes(self.kept)
+
+    def detach(self, sink: Sink) -> None:
+        """An attempt has ended."""
+        if self._sink is sink:
+            self._sink = None
+            self._steer()
+
+    def steer(self) -> None:
+        """The host takes more again, or no longer."""
+        self._steer()
+
+    def drop(self) -> None:
+        """The request is over."""
+        if not self.over:
+            self.over = True
+            self.kept.clear()
+            self._sink = None
+            self._steer()
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -16,6 +16,7 @@
 from bridgesaddle import Balancer
 from bridgesaddle.api import MS, Actions, Decisions, HostId, ListKind, Outcome, Settings
 
+from .body import Body
 from .discovery import Discovery, Listed
 from .peers import Peers
 from .timers import Timers, now_ns
@@ -31,6 +32,8 @@
 """
 LAST_CALL = 3 * MS
 """So long before the client's time is up, the gateway answers by itself if the module has not."""
+FAR = 1 << 62
+"""The time of what has no deadline."""
 MAX_OPEN = 1024
 """Requests held at once; with bodies of 64 KiB at most this bounds their memory."""
 
@@ -60,7 +63,7 @@
 
 
 class Exchange(Protocol):
-    """The client's side of a request: exactly one of these is called, once."""
+    """The client's side of a request: one answer, by one of these calls or by `begin` and what follows."""
 
     def served(self, answer: Answer) -> None:
         """Pass on a host's answer."""
@@ -72,9 +75,24 @@
         """Answer refused: trying again is harmless."""
 
 
+    def begin(self, attempt: Attempt, answer: Answer, length: int | None) -> None:
+        """A host's long answer begins; what is committed is no longer taken back."""
+
+    def more(self, data: bytes) -> None:
+        """Some more of it."""
+
+    def finish(self) -> None:
+        """It has come whole."""
+
+    def broken(self) -> None:
+        """It will not come whole, and the client must be able to tell."""
+
+
 class Asked(Protocol):
     """What the client's side has read of a request."""
 
+    body: Body | None
+
     cls: int
     tenant: int
     key: int
@@ -88,7 +106,8 @@
 class Request:
     """A request that is held; it stays in the table until its attempts have ended too."""
 
-    __slots__ = ("attempts", "closing", "deadline", "exchange", "most", "out", "payload", "rid")
+    __slots__ = ("attempts", "body", "closing", "deadline", "exchange", "last_call", "most", "out", "payload",
+                 "rid", "streamed", "ttl")
 
     def __init__(self, rid: int, exchange: Exchange, payload: tuple[bytes, bytes], deadline: int,
                  most: int) -> None:
@@ -100,12 +119,35 @@
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.closing = False   # the client has ended its sending: it may have gone
+        self.body: Body | None = None   # a long one
+        self.streamed = False           # a long answer has begun
+        self.ttl = 0
+        self.last_call = 0
+
+
+class _Receiver:
+    """Takes the long answer of an attempt to its request: the `Receiver` of upstream.py."""
+
+    __slots__ = ("_core", "_request")
+
+    def __init__(self, core: Core, request: Request) -> None:
+        self._core = core
+        self._request = request
+
+    def begin(self, attempt: Attempt, answer: Answer, length: int | None) -> bool:
+        """It begins."""
+        return self._core.begin(self._request, attempt, answer, length)
+
+    def more(self, attempt: Attempt, data: bytes) -> None:
+        """Some more of its body."""
+        if self._request.exchange is not None:
+            self._request.exchange.more(data)
 
 
 class Core:
     """One gateway: the `Actions` of api.py on real sockets.
 
-    Every event is carried but `on_first`: PROTOCOL has no streamed answers.
+    Long messages are streamed: the module hears `on_body` and `on_whole` of requests, `on_first` of answers.
     """
 
     def __init__(self, settings: Settings, salt: int, timers: Timers, columns: Sequence[str] = (),
@@ -176,11 +218,52 @@
         ttl = max(asked.ttl_ns - MARGIN, asked.ttl_ns // 2)
         request = Request(rid, exchange, asked.payload, now + ttl, self._settings.limits.max_attempts)
         self._requests[rid] = request
-        self._timers.at(now + max(asked.ttl_ns - LAST_CALL, asked.ttl_ns * 3 // 4), self._last_call, request)
+        request.ttl = asked.ttl_ns
+        request.body = asked.body
+        if request.body is not None:
+            request.body.on_bound = lambda: self._bound(request)
+        self._call_last(request, now)
         self._event(self._module.on_request, request, rid, asked.cls, asked.tenant, asked.key, ttl,
                     asked.hint_ns, asked.repeat, asked.write)
         return request
 
+    def _call_last(self, request: Request, now: int) -> None:
+        request.last_call = now + max(request.ttl - LAST_CALL, request.ttl * 3 // 4)
+        self._timers.at(request.last_call, self._last_call, request)
+
+    def _bound(self, request: Request) -> None:
+        """Part of a long body is held no longer: no second attempt, and no deadline while it is sent."""
+        request.deadline = request.last_call = FAR
+        for attempt in request.out.values():
+            attempt.due = FAR
+            self._event(self._module.on_body, request, request.rid, attempt.number)
+
+    def on_whole(self, request: Request) -> None:
+        """The last byte of a long body has come: the client's time begins."""
+        if request.exchange is None or request.streamed:
+            return
+        now = now_ns()
+        ttl = max(request.ttl - MARGIN, request.ttl // 2)
+        request.deadline = now + ttl
+        self._call_last(request, now)
+        for attempt in request.out.values():
+            attempt.due = request.deadline
+            self._timers.at(attempt.due, self._expire, attempt)
+        self._event(self._module.on_whole, request, request.rid, ttl)
+
+    def begin(self, request: Request, attempt: Attempt, answer: Answer, length: int | None) -> bool:
+        """A long answer begins: it is the one, whatever else is out; nothing of it is cut any more."""
+        if request.exchange is None or request.streamed:
+            self.upstream.cancel(attempt)
+            return False
+        request.streamed = True
+        request.deadline = request.last_call = attempt.due = FAR
+        for other in [other for other in request.out.values() if other is not attempt]:
+            self.upstream.cancel(other)
+        request.exchange.begin(attempt, answer, length)
+        self._event(self._module.on_first, request, request.rid, attempt.number)
+        return not attempt.over
+
     def members_unavailable(self) -> int:
         """Listed hosts that the module avoids now."""
         return self._module.members_unavailable(now_ns())
@@ -199,7 +282,7 @@
         what is out, and nothing new is sent for it.
         """
         request.closing = True
-        if not request.out:
+        if not request.out and not request.streamed:
             self._give_up(request)
 
     def held(self) -> list[Request]:
@@ -213,7 +296,7 @@
 
     def _last_call(self, request: Request) -> None:
         """Guards against a module that is late: the client's time is nearly up."""
-        if request.exchange is not None:
+        if request.exchange is not None and now_ns() >= request.last_call:
             log.error("request %d has had no answer in its time", request.rid)
             self._give_up(request)
 
@@ -221,12 +304,14 @@
         """Answer failed in the module's place, which can't vouch for a refusal, and have it forget."""
         exchange, request.exchange = request.exchange, None
         if exchange is not None:
-            exchange.failed()
+            exchange.broken() if request.streamed else exchange.failed()
             self._event(self._module.on_gone, None, request.rid)
         self._finish(request)
 
     def _finish(self, request: Request) -> None:
         """After the answer nothing more goes out: what is still out is cancelled."""
+        if request.body is not None:
+            request.body.drop()
         for attempt in list(request.out.values()):
             self.upstream.cancel(attempt)
         self._forget(request)
@@ -244,7 +329,11 @@
         """An attempt has ended.  The first that is served answers its client on its own."""
         request.out.pop(attempt.number, None)
         if request.exchange is not None:
-            if answer is not None:
+            if request.streamed:
+                if attempt.begun:
+                    exchange, request.exchange = request.exchange, None
+                    exchange.finish() if outcome is Outcome.OK else exchange.broken()
+            elif answer is not None:
                 exchange, request.exchange = request.exchange, None
                 exchange.served(answer)
             elif request.closing and not request.out:
@@ -252,7 +341,7 @@
                 exchange.failed()
         settled = request.exchange is None
         load = self.loads.read(attempt.load) if attempt.load else ()
-        spent = max(1, now_ns() - attempt.started)
+        spent = max(1, (attempt.begun or now_ns()) - attempt.started)
         self._event(self._module.on_outcome, request, request.rid, attempt.number, attempt.host, outcome,
                     spent, settled, load)
         if settled:
@@ -270,22 +359,24 @@
         request.attempts += 1
         due = min(self._now + timeout_ns, request.deadline) if timeout_ns else request.deadline
         attempt = Attempt(host, number, request.payload, self._now, due,
-                          lambda attempt, outcome, answer: self._ended(request, attempt, outcome, answer))
+                          lambda attempt, outcome, answer: self._ended(request, attempt, outcome, answer),
+                          receiver=_Receiver(self, request), body=request.body)
         request.out[number] = attempt
-        if request.exchange is None or request.closing or number >= request.most:
+        if request.exchange is None or request.closing or number >= request.most \
+                or (request.body is not None and request.body.bound):
             attempt.end(Outcome.MOOT)   # never after the answer, nor for a client that may have gone
             return
         self._timers.at(due, self._expire, attempt)
         self.upstream.start(attempt)
 
     def _expire(self, attempt: Attempt) -> None:
-        if not attempt.over:
+        if not attempt.over and now_ns() >= attempt.due:   # it may have been put off meanwhile
             self.upstream.expire(attempt)
 
     def fail(self, rid: int) -> None:
         """Final answer: failed."""
         request = self._requests.get(rid)
-        if request is not None and request.exchange is not None:
+        if request is not None and request.exchange is not None and not request.streamed:
             exchange, request.exchange = request.exchange, None
             exchange.failed()
             self._finish(request)
@@ -293,7 +384,7 @@
     def refuse(self, rid: int, retry_after_ns: int) -> None:
         """Final answer: refused, with advice where the module gives one."""
         request = self._requests.get(rid)
-        if request is not None and request.exchange is not None:
+        if request is not None and request.exchange is not None and not request.streamed:
             exchange, request.exchange = request.exchange, None
             exchange.refused(retry_after_ns)
             self._finish(request)
@@ -302,7 +393,7 @@
         """Stop waiting for an attempt."""
         request = self._requests.get(rid)
         out = request.out.get(attempt) if request is not None else None
-        if out is not None:
+        if out is not None and not out.begun:
             self.upstream.cancel(out)
 
     def wake(self, token: int, after_ns: int) -> None:
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import socket
+import struct
 from collections import deque
 from typing import cast
 from zlib import crc32
@@ -12,10 +14,11 @@
 
 from bridgesaddle.api import MS, SECOND, Effect, Settings
 
+from .body import Body
 from .core import Core, Request
 from .stats import Stats
 from .timers import now_ns
-from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, Answer, Header
+from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, MAX_LONG, PIECE, STALL, Answer, Attempt, Header
 
 log = logging.getLogger("gateway.server")
 
@@ -24,13 +27,15 @@
 MAX_HEADERS = 100
 PIPELINED = 8
 """Requests of one connection that are worked on at once; past that it is read no further."""
-ARRIVE = 2 * SECOND
-"""Longest time for a request to arrive, the first counted from connecting.
+ARRIVE = 2400 * MS
+"""Longest time for a head to arrive, the first counted from connecting.
 
-Whoever sends nothing that could be answered is owed an error or a close within 3 s.
+A client may take 2 s for it.  Whoever sends nothing that could be answered is owed an error or a close within
+3 s.
 """
-SLOW = 10 * SECOND
-"""Longest time for a client to take its answer."""
+BODY_START = 1600 * MS
+BODY_RATE = 32 * 1024
+"""After so long a body has to come at this rate, bytes a second: half of what a slow client makes."""
 SPARE = 16
 """Connections above the bound that are still told, by a refusal, that there is no room."""
 IDLE = 90 * SECOND
@@ -58,10 +63,12 @@
 class Checked:
     """A request that has passed the checks: the `Asked` of core.py."""
 
-    __slots__ = ("cls", "hint_ns", "id", "key", "name", "payload", "repeat", "tenant", "ttl_ns", "write")
+    __slots__ = ("body", "cls", "hint_ns", "id", "key", "name", "payload", "repeat", "tenant", "ttl_ns",
+                 "write")
 
     def __init__(self, cls: int, tenant: int, ttl_ns: int, payload: tuple[bytes, bytes],
-                 headers: dict[bytes, bytes]) -> None:
+                 headers: dict[bytes, bytes], body: Body | None) -> None:
+        self.body = body   # a long one, which is still coming
         self.cls = cls
         self.tenant = tenant
         self.ttl_ns = ttl_ns
@@ -98,7 +105,8 @@
         self._longest = [item.deadline_ns for item in settings.classes]
         self._tenants = {item.name.encode(): index for index, item in enumerate(settings.tenants)}
 
-    def check(self, method: bytes, target: bytes, headers: list[Header], body: bytes) -> Checked:
+    def check(self, method: bytes, target: bytes, headers: list[Header], body: bytes,
+              coming: Body | None = None) -> Checked:
         """Raises BadRequest for what is missing, unknown or contradictory."""
         first = target.split(b"?", 1)[0].split(b"/", 2)
         if len(first) < 2 or first[0] or first[1] not in self._classes:
@@ -122,7 +130,7 @@
         if not millis:
             raise BadRequest(400, "no usable time-out")
         return Checked(cls, tenant, min(millis * MS, self._longest[cls]),
-                       _payload(method, target, headers, body), known)
+                       _payload(method, target, headers, body, coming), known, coming)
 
     @staticmethod
     def _check_method(method: bytes, effect: Effect, known: dict[bytes, bytes], body: bytes) -> None:
@@ -137,7 +145,8 @@
                       b"idempotency-key", b"x-route-key", b"x-retried", b"x-cost", b"x-attrs", b"host"))
 
 
-def _payload(method: bytes, target: bytes, headers: list[Header], body: bytes) -> tuple[bytes, bytes]:
+def _payload(method: bytes, target: bytes, headers: list[Header], body: bytes,
+             coming: Body | None) -> tuple[bytes, bytes]:
     """The message to hosts, but for its time-out: end-to-end headers go on as they came."""
     dropped = set(HOP_BY_HOP)
     for name, value in headers:
@@ -149,6 +158,10 @@
     lines += [b"%b: %b\r\n" % item for item in headers if item[0].lower() not in dropped]
     if not any(name.lower() == b"host" for name, _ in headers):
         lines.append(b"Host: gateway\r\n")
+    if coming is not None:   # the body follows by itself
+        lines.append(b"Transfer-Encoding: chunked\r\n" if coming.length is None
+                     else b"Content-Length: %d\r\n" % coming.length)
+        return b"".join(lines), b""
     if method != b"GET":
         lines.append(b"Content-Length: %d\r\n" % len(body))
     return b"".join(lines), body
@@ -157,37 +170,88 @@
 class Exchange:
     """A request's place in the order of answers on its connection: the `Exchange` of core.py."""
 
-    __slots__ = ("answer", "close", "cls", "conn", "id", "request")
+    __slots__ = ("begun", "chunked", "close", "cls", "conn", "done", "id", "old", "parts", "request",
+                 "source")
 
-    def __init__(self, conn: ClientConnection, close: bool) -> None:
+    def __init__(self, conn: ClientConnection, close: bool, old: bool = False) -> None:
         self.conn = conn
         self.close = close
-        self.answer: bytes | None = None
+        self.old = old           # HTTP/1.0: knows no chunks
+        self.begun = False       # an answer is worded, at least its head
+        self.done = False        # and whole
+        self.parts: list[bytes] = []   # what has not left: answers before it come first
+        self.chunked = False
+        self.source: Attempt | None = None   # where a long answer comes from
         self.request: Request | None = None
         self.id = b""
         self.cls = ""   # named once the request has passed the checks: only then does it count
 
     def respond(self, status: int, headers: list[Header], body: bytes) -> None:
         """Word the answer; it leaves as soon as those before it have left."""
-        if self.answer is not None:   # guards against a second answer, whatever goes wrong elsewhere
+        if self.begun:   # guards against a second answer, whatever goes wrong elsewhere
             log.error("a second answer to one request")
             return
-        self.conn.server.forget(self.id)
+        self._head(status, headers, b"Content-Length: %d\r\n" % len(body))
+        self.parts.append(body)
+        self._end()
+
+    def _head(self, status: int, headers: list[Header], framing: bytes) -> None:
+        self.begun = True
         self.close = self.close or (self.conn.server.draining and self.conn.last(self))
-        if self.close:
-            self.conn.deaf = True
-        lines = [b"HTTP/1.1 %d %b\r\nContent-Length: %d\r\n" % (status, _REASONS[status], len(body))]
+        self.conn.answering(self)
+        lines = [b"HTTP/1.1 %d %b\r\n" % (status, _REASONS[status]), framing]
         lines += [b"%b: %b\r\n" % item for item in headers]
         if self.close:
             lines.append(b"Connection: close\r\n")
-        self.answer = b"%b\r\n%b" % (b"".join(lines), body)
+        lines.append(b"\r\n")
+        self.parts.append(b"".join(lines))
+
+    def _end(self) -> None:
+        self.done = True
+        self.source = None
+        self.conn.server.forget(self.id)
         self.conn.flush()
 
+    def begin(self, attempt: Attempt, answer: Answer, length: int | None) -> None:
+        """A host's long answer begins: what is passed on can't be taken back."""
+        self.source = attempt
+        framing = b""
+        if length is not None:
+            framing = b"Content-Length: %d\r\n" % length
+        elif self.old:
+            self.close = True   # its end is told by the close
+        else:
+            self.chunked = True
+            framing = b"Transfer-Encoding: chunked\r\n"
+        self._head(200, _end_to_end(answer), framing)
+        self.conn.flush()
+
+    def more(self, data: bytes) -> None:
+        """Some more of it."""
+        if data:
+            self.parts.append(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+            self.conn.flush()
+
+    def finish(self) -> None:
+        """It has come whole."""
+        if self.chunked:
+            self.parts.append(b"0\r\n\r\n")
+        self._end()
+        self._count("completed")
+
+    def broken(self) -> None:
+        """It will not come whole: the connection ends before the answer does."""
+        self._end_nothing()
+        self._count("failed")
+
+    def _end_nothing(self) -> None:
+        self.source = None
+        self.conn.server.forget(self.id)
+        self.conn.cut()
+
     def served(self, answer: Answer) -> None:
         """Pass on a host's answer, its body unchanged."""
-        headers = [item for item in answer.headers
-                   if item[0].lower() not in HOP_BY_HOP and item[0].lower() != LOAD]
-        self.respond(200, headers, answer.body)
+        self.respond(200, _end_to_end(answer), answer.body)
         self._count("completed")
 
     def failed(self) -> None:
@@ -206,9 +270,15 @@
             self.conn.server.stats.ended(self.cls, how)
 
 
-class ClientConnection(asyncio.Protocol):
+def _end_to_end(answer: Answer) -> list[Header]:
+    return [item for item in answer.headers if item[0].lower() not in HOP_BY_HOP and item[0].lower() != LOAD]
+
+
+class ClientConnection(asyncio.BufferedProtocol):
     """One connection of a client."""
 
+    _piece = memoryview(bytearray(PIECE))   # one for all: what is read is parsed before the next read
+
     def __init__(self, server: Server) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
@@ -223,9 +293,19 @@
         self.lingering = False
         self.surplus = False     # there was no room for it: its request is refused unsent
         self._stuck_since = 0
+        self._unsent = 0         # of what it does not take
+        self._current: Exchange | None = None   # of a long request that is still coming
+        self._coming: Body | None = None
+        self._expecting = False  # the client waits for an interim answer before it sends its body
         self._start()
 
     def _start(self) -> None:
+        self._length: int | None = None
+        self._received = 0
+        self._body_since = 0     # when the body began, later by the time it was not read
+        self._paused_at = 0
+        self._current = self._coming = None
+        self._expecting = False
         self._target = b""
         self._headers: list[Header] = []
         self._body = bytearray()
@@ -235,19 +315,31 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)   # uvloop has its own kind
+        self.transport.set_write_buffer_limits(high=PIECE // 2)
         self.server.joined(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone; what it was owed is owed no more."""
         self.server.left(self)
-        for exchange in self._exchanges:
-            if exchange.answer is None:
-                self.server.forget(exchange.id)
-                if exchange.request is not None:
-                    self.server.core.on_gone(exchange.request)
+        exchanges = list(self._exchanges)
         self._exchanges.clear()
+        for exchange in exchanges:
+            self._forsake(exchange)
+
+    def _forsake(self, exchange: Exchange) -> None:
+        """What it was owed is owed no more."""
+        if not exchange.done:
+            self.server.forget(exchange.id)
+            if exchange.request is not None:
+                self.server.core.on_gone(exchange.request)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._piece
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(self._piece[:nbytes])
 
-    def data_received(self, data: bytes) -> None:
+    def data_received(self, data: memoryview) -> None:
         if self.deaf:
             return
         try:
@@ -262,14 +354,47 @@
                 self._error = BadRequest(431, "a head too long")
         if self._error is not None and not self.deaf:
             self._reject(self._error)
-        if len(self._exchanges) >= PIPELINED and not self._paused and self.transport is not None:
-            self._paused = True
-            self.transport.pause_reading()
+        if self._error is None and not self.deaf:
+            self._stream()
+        self.steer()
+
+    def _stream(self) -> None:
+        """A body too long to be collected: its request is taken now, the rest passed on as it comes."""
+        if self._coming is None:
+            if not self._in_message or self._in_head or len(self._body) <= MAX_BODY:
+                return
+            self._coming = Body(self._length, bytes(self._body), self.steer)
+            self._body.clear()
+            self._current = Exchange(self, not self._parser.should_keep_alive(),
+                                     self._parser.get_http_version() == "1.0")
+            self._exchanges.append(self._current)
+            self._take(self._current, b"", self._coming)
+            if self._current is not None and self._current.request is None:
+                self._coming.drop()   # it is answered: what still comes is thrown away
+        elif self._body:
+            data = bytes(self._body)
+            self._body.clear()
+            self._coming.feed(data)
+
+    def steer(self) -> None:
+        """Backpressure: read on only while what comes finds a place."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        wanted = bool(len(self._exchanges) >= PIPELINED or self._stuck_since
+                      or (self._coming is not None and self._coming.full)) and not self.lingering
+        if wanted and not self._paused:
+            self._paused_at = now_ns()
+            transport.pause_reading()
+        elif self._paused and not wanted:
+            self._body_since += now_ns() - self._paused_at
+            transport.resume_reading()
+        self._paused = wanted
 
     def _decline_upgrade(self) -> None:
         """Answered as if it had not been asked for; as the parser reads no further, the connection ends."""
         self.deaf = True
-        if self._exchanges and self._exchanges[-1].answer is None:
+        if self._exchanges and not self._exchanges[-1].begun:
             self._exchanges[-1].close = True
         else:
             self._linger()
@@ -277,8 +402,17 @@
     def _reject(self, error: BadRequest) -> None:
         """Framing is lost: one answer, in its turn, and the connection closes."""
         self.deaf = True
-        exchange = Exchange(self, close=True)
-        self._exchanges.append(exchange)
+        exchange, self._current, self._coming = self._current, None, None
+        if exchange is None or exchange.done:   # an answer may come before the end of its request
+            exchange = Exchange(self, close=True)
+            self._exchanges.append(exchange)
+        elif exchange.begun:
+            self.cut()
+            return
+        else:   # it is answered here: neither the host nor the module goes on with it
+            if exchange.request is not None:
+                self.server.core.on_gone(exchange.request)
+            exchange.close = True
         exchange.respond(error.status, [], error.why.encode() + b"\n")
 
     # The parser's side: it only notes, as what a callback raises would be lost in the parser.
@@ -311,18 +445,33 @@
             return
         if lengths and (coded or len(lengths) > 1):
             self._error = BadRequest(400, "contradictory framing")
-        elif lengths and (not lengths[0].isdigit() or int(lengths[0][:20]) > MAX_BODY):
+        elif coded and (self._parser.get_http_version() != "1.1" or any(
+                name.lower() == b"transfer-encoding" and value.strip().lower() != b"chunked"
+                for name, value in self._headers)):
+            self._error = BadRequest(400, "no known transfer coding")
+        elif lengths and (not lengths[0].isdigit() or int(lengths[0][:20]) > MAX_LONG):
             self._error = BadRequest(413, "a body too long")
-        elif self.transport is not None and not self._exchanges and any(
-                name.lower() == b"expect" and value.lower() == b"100-continue"
-                for name, value in self._headers):
+        else:
+            self._length = int(lengths[0]) if lengths else None
+            self._body_since = now_ns()
+            self._expecting = any(name.lower() == b"expect" and value.lower() == b"100-continue"
+                                  for name, value in self._headers)
+            self._go_on()
+
+    def _go_on(self) -> None:
+        """Ask for the body that a client holds back, once the answers before it have left."""
+        if self._expecting and not self._exchanges and self.transport is not None:
+            self._expecting = False
+            self._body_since = now_ns()
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
-        if self._error is None and len(self._body) + len(body) > MAX_BODY:
+        self._expecting = False
+        self._received += len(body)
+        if self._error is None and self._received > MAX_LONG:
             self._error = BadRequest(413, "a body too long")
             self._body.clear()
-        elif self._error is None:
+        elif self._error is None and not self.deaf:
             self._body += body
 
     def on_message_complete(self) -> None:
@@ -331,47 +480,87 @@
             return
         self._asked = True
         close = not self._parser.should_keep_alive()
+        if self._coming is not None:
+            self.deaf = self.deaf or close
+            self._end_long()
+            return
         self.deaf = close
-        exchange = Exchange(self, close)
+        exchange = Exchange(self, close, self._parser.get_http_version() == "1.0")
         self._exchanges.append(exchange)
+        self._take(exchange, bytes(self._body))
+        self._start()
+
+    def _take(self, exchange: Exchange, body: bytes, coming: Body | None = None) -> None:
         try:
-            self.server.take(exchange, self._parser.get_method(), self._target, self._headers,
-                             bytes(self._body))
+            self.server.take(exchange, self._parser.get_method(), self._target, self._headers, body, coming)
         except Exception:   # guards against losing it in the parser, which would take it for bad framing
             log.exception("a request could not be taken")
-            if exchange.answer is None:
+            if not exchange.begun:
                 exchange.failed()
+
+    def _end_long(self) -> None:
+        coming, exchange, data = self._coming, self._current, bytes(self._body)
         self._start()
+        if coming is not None and exchange is not None:
+            if data:
+                coming.feed(data)
+            if not coming.over:
+                coming.finish()
+                if exchange.request is not None:
+                    self.server.core.on_whole(exchange.request)
 
     # What follows.
 
     def eof_received(self) -> bool:
         """The client has ended its sending; it may still read, so what it is owed is answered."""
+        if self._current is not None and self._in_message and not self.deaf:
+            self._reject(BadRequest(400, "the body was cut short"))
         self._ended = self.deaf = True
         for exchange in list(self._exchanges):
-            if exchange.answer is None and exchange.request is not None:
+            if not exchange.begun and exchange.request is not None:
                 self.server.core.on_half_closed(exchange.request)
         return bool(self._exchanges)
 
     def flush(self) -> None:
         """Write the answers that are ready, in the order of the requests."""
         transport = self.transport
-        while self._exchanges and self._exchanges[0].answer is not None:
-            exchange = self._exchanges.popleft()
-            assert exchange.answer is not None
-            if transport is None or transport.is_closing():
-                continue
-            transport.write(exchange.answer)
+        while self._exchanges and self._exchanges[0].begun:
+            exchange = self._exchanges[0]
+            data = b"".join(exchange.parts)
+            exchange.parts.clear()
+            if data and transport is not None and not transport.is_closing():
+                transport.write(data)
+            if not exchange.done:
+                break
+            self._exchanges.popleft()
             self.since = now_ns()
-            if exchange.close:
+            if exchange.close and transport is not None and not transport.is_closing():
                 self._linger()
         if transport is None or transport.is_closing():
             return
+        for exchange in self._exchanges:
+            if exchange.source is not None:   # a long answer waits for its turn, and for its client
+                exchange.source.pause(bool(self._stuck_since) or exchange is not self._exchanges[0])
         if self._ended and not self._exchanges:
             transport.close()
-        elif self._paused and len(self._exchanges) < PIPELINED and not self._stuck_since:
-            self._paused = False
-            transport.resume_reading()
+        else:
+            self._go_on()
+            self.steer()
+
+    def answering(self, exchange: Exchange) -> None:
+        """An answer is being worded."""
+        if exchange is self._current and self._expecting:
+            exchange.close = True   # the body it holds back may come or not: framing is lost
+        if exchange.close and exchange is not self._current:
+            self.deaf = True
+
+    def cut(self) -> None:
+        """End before the end of an answer.  A reset, as where only the end tells a close would look whole."""
+        if self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None and not self.transport.is_closing():
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.transport.abort()
 
     def _linger(self) -> None:
         """Guards against a reset that would take the answer with it: end the sending, drain, then close."""
@@ -382,9 +571,11 @@
     def pause_writing(self) -> None:
         """The client does not read: no more is read from it either."""
         self._stuck_since = now_ns()
-        if not self._paused and self.transport is not None:
-            self._paused = True
-            self.transport.pause_reading()
+        self._unsent = 0
+        for exchange in self._exchanges:
+            if exchange.source is not None:
+                exchange.source.pause(True)
+        self.steer()
 
     def resume_writing(self) -> None:
         self._stuck_since = 0
@@ -403,16 +594,29 @@
         if self.transport is None:
             return
         waited = now - self.since
-        if self._stuck_since and now - self._stuck_since > SLOW:
+        unsent = self.transport.get_write_buffer_size() if self._stuck_since else 0
+        if unsent != self._unsent:
+            self._unsent = unsent
+            if self._stuck_since:
+                self._stuck_since = now   # it reads, however slowly
+        if self._stuck_since and now - self._stuck_since > STALL:
             self.transport.abort()
         elif self.lingering:
             if waited > LINGER:
                 self.transport.abort() if self._stuck_since else self.transport.close()
-        elif self._in_message and not self.deaf and waited > ARRIVE:
+        elif self._in_message and not self.deaf and self._too_slow(now):
             self._reject(BadRequest(408, "the request was too slow"))
         elif self.between_requests() and waited > self._patience():
             self.transport.close()
 
+    def _too_slow(self, now: int) -> bool:
+        """Judges the head by its time and the body by its progress, but for the time it was not read."""
+        if self._in_head or not self._body_since:
+            return now - self.since > ARRIVE
+        if self._paused or self._expecting:
+            return False
+        return self._received < BODY_RATE * (now - self._body_since - BODY_START) / SECOND
+
     def _patience(self) -> int:
         """How long the connection may be between requests."""
         if not self._asked:
@@ -469,15 +673,17 @@
         return self.core.listed and not self.draining
 
     def take(self, exchange: Exchange, method: bytes, target: bytes, headers: list[Header],
-             body: bytes) -> None:
-        """A whole request has come."""
+             body: bytes, coming: Body | None = None) -> None:
+        """A request has come, whole or with its body still coming."""
         if target.split(b"?", 1)[0] == READY and method == b"GET":
             ready = self.ready or self.succeeded
             exchange.respond(200 if ready else 503, [], b"ready\n" if ready else b"not ready\n")
             return
         try:
-            asked = self._checks.check(method, target, headers, body)
+            asked = self._checks.check(method, target, headers, body, coming)
         except BadRequest as error:
+            if coming is not None:
+                exchange.close = True
             exchange.respond(error.status, [], error.why.encode() + b"\n")
             return
         if asked.id in self._ids:   # guards against two copies of one id, each with attempts of its own
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -9,12 +9,13 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from typing import NamedTuple, cast
+from typing import NamedTuple, Protocol, cast
 
 import httptools
 
 from bridgesaddle.api import MS, SECOND, HostId, HostState, Outcome
 
+from .body import Body
 from .discovery import Listed
 from .stats import Stats
 from .timers import Timers, now_ns
@@ -22,7 +23,15 @@
 log = logging.getLogger("gateway.upstream")
 
 MAX_BODY = 64 * 1024
-"""Longest body of a message, bytes."""
+"""Longest body of a message that is collected whole, bytes; past that it is streamed."""
+MAX_LONG = 32 * 1024 * 1024
+"""Longest body of any message, bytes."""
+PIECE = 64 * 1024
+"""Most that is read in one call, bytes: one piece a stream may wait to be passed on."""
+UNTOLD = 100 * MS
+"""An answer whose length is not told is collected for so long: a long one's first bytes are waited for."""
+STALL = 10 * SECOND
+"""Longest time for a streamed message without any progress, while the other side could go on."""
 MAX_HEAD = 16 * 1024
 """Longest head of an answer, bytes."""
 IDLE_PART = 0.6
@@ -48,15 +57,33 @@
     body: bytes
 
 
+class Receiver(Protocol):
+    """Who takes a long answer, piece by piece."""
+
+    def begin(self, attempt: Attempt, answer: Answer, length: int | None) -> bool:
+        """It begins; `length` is None where only its end tells.  False: nobody wants it any more."""
+
+    def more(self, attempt: Attempt, data: bytes) -> None:
+        """Some more of its body; `attempt.pause` holds the next back."""
+
+
 class Attempt:
-    """One attempt at one host, or a probe.  `ended` is called once, with the answer if it was served."""
+    """One attempt at one host, or a probe.
 
-    __slots__ = ("conn", "due", "ended", "host", "load", "number", "over", "payload", "probe", "started")
+    `ended` is called once, with the answer if it was served whole.  A long answer goes to `receiver` first.
+    """
+
+    __slots__ = ("begun", "body", "conn", "due", "ended", "host", "load", "number", "over", "payload",
+                 "probe", "receiver", "started")
 
     def __init__(self, host: HostId, number: int, payload: tuple[bytes, bytes], started: int, due: int,
-                 ended: Callable[[Attempt, Outcome, Answer | None], None], probe: bool = False) -> None:
+                 ended: Callable[[Attempt, Outcome, Answer | None], None], probe: bool = False,
+                 receiver: Receiver | None = None, body: Body | None = None) -> None:
         self.host = host
         self.probe = probe
+        self.receiver = receiver
+        self.body = body     # where it is still coming
+        self.begun = 0       # when the first of a long answer was passed on
         self.number = number
         self.payload = payload   # the head without its last lines, and the body
         self.started = started
@@ -71,6 +98,11 @@
         head, body = self.payload
         return b"%bX-Timeout-Ms: %d\r\n\r\n%b" % (head, max(1, (self.due - now) // MS), body)
 
+    def pause(self, wanted: bool) -> None:
+        """Read no more of the answer for now, or again."""
+        if self.conn is not None:
+            self.conn.pause(wanted)
+
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         """Report the outcome, once."""
         if not self.over:
@@ -93,9 +125,11 @@
         self.idle: list[Connection] = []
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a host; it carries one attempt at a time."""
 
+    _piece = memoryview(bytearray(PIECE))   # one for all: what is read is parsed before the next read
+
     def __init__(self, pool: Upstream, host: Host, attempt: Attempt) -> None:
         self._pool = pool
         self.host = host
@@ -106,12 +140,21 @@
         self.idle_at = 0
         self._parser = httptools.HttpResponseParser(self)
         self._written = False
+        self._body_out: Body | None = None   # a long body that goes out on this connection
+        self._paused = False
+        self.clogged = False
+        self.moved = now_ns()    # when a stream last made progress
         self._reset()
 
     def _reset(self) -> None:
+        self._length: int | None = None
+        self._chunked = False
+        self._stream = False
+        self._waits = False
         self._headers: list[Header] = []
         self._body = bytearray()
         self._size = 0
+        self._raw = 0
         self._head_done = False
         self._complete = False
         self._keep_alive = False
@@ -141,46 +184,106 @@
         transport = self.transport
         assert transport is not None
         self._written = False
-        transport.write(attempt.message(now_ns()))
+        self.clogged = False
+        self.moved = now_ns()
+        message = attempt.message(self.moved)
+        body = self._body_out = attempt.body
+        if body is not None:
+            start = body.attach(self)
+            transport.write(message + (b"" if body.length is None else start))
+            if body.length is None and start:
+                self.more(start)
+            if body.whole:
+                self.last()
+            body.steer()
+            return
+        transport.write(message)
+        self._flushed()
+
+    def _flushed(self) -> None:
+        """Ask whether the last byte is on the socket."""
+        transport = self.transport
+        assert transport is not None
         # With a limit of 0 the transport tries the socket at once; what is left is only buffered.
         if not transport.is_closing() and not transport.get_write_buffer_size():
             self._whole()
 
+    def more(self, data: bytes) -> None:
+        """Some more of a long body."""
+        body, transport = self._body_out, self.transport
+        if body is not None and transport is not None and not transport.is_closing():
+            transport.write(b"%x\r\n%b\r\n" % (len(data), data) if body.length is None else data)
+            if not self.clogged:
+                self.moved = now_ns()
+
+    def last(self) -> None:
+        """A long body has come whole."""
+        body, transport = self._body_out, self.transport
+        if body is not None and transport is not None and not transport.is_closing():
+            if body.length is None:
+                transport.write(b"0\r\n\r\n")
+            self._flushed()
+
+    def pause_writing(self) -> None:
+        """The host does not take what it is given: the client waits too."""
+        self.clogged = True
+        if self._body_out is not None:
+            self._body_out.steer()
+
     def resume_writing(self) -> None:
-        """The buffer is empty: the last byte is on the socket."""
-        self._whole()
+        """The buffer is empty: what was given is on the socket, up to the last byte if that has come."""
+        self.clogged = False
+        self.moved = now_ns()
+        if self._body_out is None or self._body_out.whole:
+            self._whole()
+        if self._body_out is not None:
+            self._body_out.steer()
 
     def _whole(self) -> None:
         if not self._written:
             self._written = True
+            if self._body_out is not None and self.attempt is not None:
+                self.attempt.started = now_ns()   # a host begins once the last byte has come
             if self.attempt is not None and not self.attempt.probe:
                 self._pool.stats.upstream_requests += 1
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self._piece
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.moved = now_ns()
+        self.data_received(self._piece[:nbytes])
+
+    def data_received(self, data: memoryview) -> None:
         """Feed the answer; what comes without a request waiting spoils the connection."""
         if self.attempt is None:
             log.warning("unasked bytes from %s", self.host.address)
             self._close()
             return
-        if not self._head_done:
-            self._size += len(data)   # guards against a head without end
-            if self._size > MAX_HEAD + MAX_BODY:
-                self._broken = "a head too long"
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._broken = "upgrade"
         except httptools.HttpParserError as error:
             self._broken = str(error) or "malformed"
+        if not self._head_done:
+            self._raw += len(data)   # guards against a head without end, which shows no header
+            if self._raw > 2 * MAX_HEAD:
+                self._broken = "a head too long"
         self._judge()
 
     def eof_received(self) -> None:
-        """The host has ended its sending; the transport closes, and connection_lost tells the rest."""
+        """The host has ended its sending, which ends an answer that tells no length."""
+        if self.attempt is not None and self._head_done and self._length is None and not self._chunked \
+                and not self._broken and not self._complete:
+            self._complete = True
+            self._judge()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Broken: before the last byte was written it cannot have run, after that it may have."""
         self._pool.lost(self)
         attempt, self.attempt = self.attempt, None
+        self._detach()
         if attempt is not None:
             attempt.end(Outcome.RESET if self._written else Outcome.CONNECT_FAILED)
 
@@ -200,22 +303,26 @@
     def on_headers_complete(self) -> None:
         self._head_done = True
         for name, value in () if self._complete else self._headers:
-            if name.lower() == b"content-length" and (not value.isdigit() or int(value) > MAX_BODY):
-                self._broken = "a body too long"
+            lower = name.lower()
+            if lower == b"transfer-encoding":
+                self._chunked = True
+            elif lower == b"content-length":
+                if not value.isdigit() or int(value[:20]) > MAX_LONG:
+                    self._broken = "a body too long"
+                else:
+                    self._length = int(value)
 
     def on_body(self, body: bytes) -> None:
         if self._complete:
             return
         self._body += body
-        if len(self._body) > MAX_BODY:
-            self._broken = "a body too long"
-            self._body.clear()
 
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() < 200:   # interim: the answer is still to come
             self._headers.clear()
             self._head_done = False
-        else:
+            self._length, self._chunked = None, False
+        elif not self._broken:   # guards against passing on what is whole but can't be right
             self._complete = True
             # Asked here: guards against connections never reused, as the parser has forgotten it afterwards.
             self._keep_alive = self._parser.should_keep_alive()
@@ -226,6 +333,12 @@
         attempt = self.attempt
         if attempt is None:
             return
+        long = self._stream or len(self._body) > MAX_BODY or (self._length or 0) > MAX_BODY
+        if self._body and long and not self._broken and not self._pass_on(attempt):
+            return
+        if self._body and not long and not self._complete and self._length is None and not self._waits:
+            self._waits = True
+            self._pool.timers.after(UNTOLD, self._overdue, attempt)
         if not self._complete:
             if self._broken:
                 log.warning("spoilt answer from %s: %s", self.host.address, self._broken)
@@ -236,16 +349,70 @@
         outcome = _outcome(answer)
         attempt.load = next((value for name, value in answer.headers if name.lower() == LOAD), b"")
         self.attempt = None
+        self._detach()
         attempt.conn = None
         if self._written and not self._broken and self._keep_alive:
+            self.pause(False)
             self._pool.keep(self)
         else:
             self._close()
-        attempt.end(outcome, answer if outcome is Outcome.OK else None)
+        attempt.end(outcome, answer if outcome is Outcome.OK and not self._stream else None)
+
+    def _pass_on(self, attempt: Attempt) -> bool:
+        """A long answer goes on as it comes; False once the attempt is over."""
+        if not self._stream:
+            status = self._parser.get_status_code()
+            if status != 200 or attempt.receiver is None:
+                self._broken = "a body too long"
+                return True
+            self._stream = True
+            attempt.load = next((value for name, value in self._headers if name.lower() == LOAD), b"")
+            attempt.begun = now_ns()
+            if not attempt.receiver.begin(attempt, Answer(status, self._headers, b""), self._length):
+                return False
+        data = bytes(self._body)
+        self._body.clear()
+        if attempt.receiver is not None and not attempt.over:
+            attempt.receiver.more(attempt, data)
+        return not attempt.over
+
+    def _overdue(self, attempt: Attempt) -> None:
+        if self.attempt is attempt and not self._stream:
+            self.commit()
+
+    def commit(self) -> bool:
+        """Pass on what has come of an answer whose length is not told: it may be a long one."""
+        attempt = self.attempt
+        if attempt is None or attempt.receiver is None or not self._body or self._broken \
+                or self._length is not None or self._parser.get_status_code() != 200:
+            return False
+        self._pass_on(attempt)
+        return True
+
+    def pause(self, wanted: bool) -> None:
+        """Backpressure: the answer waits at the host while its client does not take it."""
+        if wanted != self._paused and self.transport is not None and not self.transport.is_closing():
+            self._paused = wanted
+            self.moved = now_ns()
+            if wanted:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
+
+    def stalled(self, now: int) -> bool:
+        """Whether a stream has made no progress for too long though the other side could go on."""
+        waits = (self._stream and not self._paused) or (self._body_out is not None and self.clogged)
+        return waits and now - self.moved > STALL
+
+    def _detach(self) -> None:
+        body, self._body_out = self._body_out, None
+        if body is not None:
+            body.detach(self)
 
     def give_up(self, outcome: Outcome) -> None:
         """End the attempt and close; buffered bytes of it are thrown away, never sent later."""
         attempt, self.attempt = self.attempt, None
+        self._detach()
         self._close()
         if attempt is not None:
             attempt.end(outcome)
@@ -283,7 +450,7 @@
                  connect_timeout_ns: int, idle_ns: int, stats: Stats) -> None:
         self._loop = loop
         self.stats = stats
-        self._timers = timers
+        self.timers = timers
         self.max_open = max_open
         self.on_settings(connect_timeout_ns, idle_ns)
         self._hosts: dict[HostId, Host] = {}
@@ -342,7 +509,7 @@
         self._open.add(conn)
         self.opened += 1
         conn.task = self._loop.create_task(self._connect(conn))
-        self._timers.after(self._connect_timeout, self._connect_overdue, conn)
+        self.timers.after(self._connect_timeout, self._connect_overdue, conn)
 
     async def _connect(self, conn: Connection) -> None:
         try:
@@ -361,6 +528,8 @@
 
     def expire(self, attempt: Attempt) -> None:
         """The attempt's time is up.  It has timed out if it was sent, else it never ran."""
+        if attempt.begun or (attempt.conn is not None and attempt.conn.commit()):
+            return   # the host still gives: nothing of a long answer is cut
         written = attempt.conn is not None and attempt.conn.written()
         self._stop(attempt, Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED)
 
@@ -414,7 +583,10 @@
             self._drop_idle(host)
 
     def sweep(self, now: int) -> None:
-        """Close what has stood idle, clearly before the host does."""
+        """Close what has stood idle, clearly before the host does, and streams that stand still."""
+        for conn in [conn for conn in self._open if conn.stalled(now)]:
+            log.warning("a stream to or from %s stands still", conn.host.address)
+            conn.give_up(Outcome.RESET if conn.written() else Outcome.CONNECT_FAILED)
         for host in self._hosts.values():
             while host.idle and now - host.idle[0].idle_at >= self._idle:
                 host.idle.pop(0).close()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -10,6 +10,7 @@
 
 from bridgesaddle.api import MS, SECOND, Effect, HostEntry, HostState, Limits, ListKind, Outcome, RequestClass
 from gateway import core as core_module
+from gateway.body import Body
 from gateway.core import Core
 from gateway.discovery import Discovery, Listed
 from gateway.timers import Timers
@@ -71,6 +72,18 @@
     tenant = key = hint_ns = 0
     repeat = write = False
     payload = (b"", b"")
+    body: Body | None = None
+
+    def begin(self, attempt: Attempt, answer: Answer, length: int | None) -> None:
+        raise AssertionError("no long answer comes here")
+
+    def more(self, data: bytes) -> None:
+        raise AssertionError("no long answer comes here")
+
+    def finish(self) -> None:
+        raise AssertionError("no long answer comes here")
+
+    broken = finish
 
     def served(self, answer: Answer) -> None:
         self.answers.append(("served", self.now))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -624,3 +624,50 @@
             gateway.run(gateway.now + 400 * MS)
         gateway.run(gateway.now + 5 * MS)
     assert gateway.module.members_unavailable(gateway.now) == 2
+
+
+def long_body(gateway: Gateway, effect_cls: int = 0) -> int:
+    """A request whose long body has outgrown what is held of it."""
+    rid = gateway.request(effect_cls)
+    gateway.module.on_body(gateway.now, rid, 0)
+    return rid
+
+
+def test_the_time_of_a_long_body_begins_with_its_last_byte() -> None:
+    gateway = Gateway(some_settings(), [entry(f"h{n}") for n in range(4)])
+    rid = long_body(gateway)
+    gateway.held[rid].deadline = 60 * SECOND
+    gateway.run(5 * SECOND)
+    assert rid not in gateway.ends and len(gateway.sends) == 1
+    gateway.module.on_whole(gateway.now, rid, SECOND)
+    gateway.held[rid].deadline = gateway.now + SECOND
+    gateway.run(gateway.now + 2 * SECOND)
+    assert (gateway.ends[rid], len(gateway.sends)) == ("refuse", 1)
+    assert not gateway.broken
+
+
+@pytest.mark.parametrize("whole", [False, True])
+def test_a_body_that_is_held_no_longer_is_not_sent_again(whole: bool) -> None:
+    gateway = Gateway(some_settings(a_class(Effect.UNSAFE)), [entry(f"h{n}") for n in range(4)])
+    rid = long_body(gateway)
+    if whole:
+        gateway.module.on_whole(gateway.now, rid, SECOND)
+    gateway.run(gateway.now + 50 * MS)
+    gateway.outcome(rid, Outcome.CONNECT_FAILED)
+    assert (gateway.ends[rid], len(gateway.sends)) == ("refuse", 1)   # at once, and it can't have run
+    assert not gateway.broken
+
+
+def test_long_messages_on_their_way_are_no_work_in_flight() -> None:
+    gateway = Gateway(some_settings(), [entry("h0"), entry("h1")])
+    pool = gateway.module._near
+    coming, going = long_body(gateway), gateway.request()
+    assert pool.inflight == 1
+    gateway.module.on_first(gateway.now, going, 0)
+    assert pool.inflight == 0
+    gateway.module.on_whole(gateway.now, coming, SECOND)
+    assert pool.inflight == 1
+    for rid in (coming, going):
+        gateway.outcome(rid, Outcome.OK)
+    assert pool.inflight == 0
+    assert gateway.ends == {coming: "served", going: "served"}
