Take white space off header values: the parser leaves it behind them

Evidence: what was answered with 4xx, logged: each had a blank behind a value (class, time-out, length). Ruled out: time limits (no 408 among them), room, the forms of bodies. At fault: on_header in server.py and upstream.py took values as they came.

--- a/gateway/server.py
+++ b/gateway/server.py
@@ -428,9 +428,9 @@
         self._count(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._count(len(name) + len(value or b"") + 4)
+        self._count(len(name) + len(value) + 4)
         if self._error is None and self._in_head:   # trailers could name another id, or hide a second length
-            self._headers.append((name, value or b""))
+            self._headers.append((name, value.strip(b" \t")))   # the parser leaves white space behind it
 
     def _count(self, size: int) -> None:
         self._size += size
@@ -449,7 +449,9 @@
                 name.lower() == b"transfer-encoding" and value.strip().lower() != b"chunked"
                 for name, value in self._headers)):
             self._error = BadRequest(400, "no known transfer coding")
-        elif lengths and (not lengths[0].isdigit() or int(lengths[0][:20]) > MAX_LONG):
+        elif lengths and not lengths[0].isdigit():
+            self._error = BadRequest(400, "no usable length")
+        elif lengths and int(lengths[0][:20]) > MAX_LONG:
             self._error = BadRequest(413, "a body too long")
         else:
             self._length = int(lengths[0]) if lengths else None
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -298,7 +298,7 @@
         if self._size > MAX_HEAD:
             self._broken = "a head too long"
         elif not self._head_done:   # trailers are no headers
-            self._headers.append((name, value or b""))
+            self._headers.append((name, value.strip(b" \t")))   # the parser leaves white space behind it
 
     def on_headers_complete(self) -> None:
         self._head_done = True
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -120,6 +120,21 @@
     play(scene)
 
 
+def test_white_space_around_a_value_is_no_part_of_it() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host)
+            client = await stage.client()
+            data = request("keyed", body=b"1234")
+            lines = data.replace(b"\r\n", b" \t\r\n").replace(b" \t\r\n \t\r\n", b" \t\r\n\r\n")
+            lines = lines.replace(b" HTTP/1.1 \t", b" HTTP/1.1").replace(b": ", b":\t ")
+            assert (await client.ask(lines))[0] == 200
+            seen = await host.seen.get()
+            assert (seen.body, seen.headers["idempotency-key"]) == (b"1234", "kr1")
+    play(scene)
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks", "close"])
 @pytest.mark.parametrize("version", [b"1.1", b"1.0"])
 def test_a_long_answer_comes_whole_in_every_form(framing: str, version: bytes) -> None:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -87,6 +87,8 @@
     (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndone", True, Outcome.RESET),
     (b"HTTP/1.1 200 OK\r\n\r\ndone", True, Outcome.OK),
     (b"HTTP/1.0 200 OK\r\n\r\ndone", True, Outcome.OK),
+    (b"HTTP/1.1 200 OK\r\nContent-Length:\t4 \t\r\n\r\ndone", False, Outcome.OK),
+    (b"HTTP/1.1 503 No\r\nX-Not-Processed: 1 \r\nContent-Length: 0 \r\n\r\n", False, Outcome.FULL),
     (b"HTTP/1.1 103 Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
      b"2;a=b\r\ndo\r\n2\r\nne\r\n0\r\nX-Sum: 1\r\n\r\n", False, Outcome.OK),
     (b"HTTP/1.1 200 OK\r\n\r", True, Outcome.RESET),
