Bound what long messages hold together by the memory limit

Each call reads less the more streams there are, and a long body that finds no room is refused unsent. 64 KiB a stream and as much that is held of each body could come to more than 80 MB with all connections that clients may hold. docs/on-call.md says how to use what is new, with calls that can be typed.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -22,6 +22,7 @@
 from bridgesaddle.wire import WireError, parse_settings
 
 from .admin import Admin, Answered
+from .body import Room
 from .core import Core, Maker
 from .discovery import Discovery, Lines, Listed
 from .handover import Handover
@@ -46,6 +47,10 @@
 """Descriptors for everything that is neither a client's nor a host's connection."""
 CLIENTS = 0.55
 """Part of the other descriptors that clients may hold."""
+MEMORY = 192
+"""The limit where none is told, MB."""
+ITSELF = 40
+"""What the program needs for itself, MB: two processes share the rest."""
 BESIDE = 1 * SECOND
 """So often it is looked whether another process of this gateway runs."""
 BESIDE_CLIENTS = 0.65
@@ -73,6 +78,7 @@
             self.discovery = _address(environ.get("EDGE_DISCOVERY") or told["discovery"])
             self.seed = int(str(told.get("seed", "0")), 16)
             self.sockets = int(told.get("limits", {}).get("sockets", 1024))
+            self.memory = int(told.get("limits", {}).get("memory_mb", MEMORY)) << 20
             self.known = told.get("known", {"generation": 0, "reset": True, "instances": []})
             raw = told["settings"]
             self.settings: Settings = parse_settings(json.dumps(raw).encode())
@@ -155,17 +161,18 @@
         self.handover = Handover(config.listen)
         self._beside = False
         clients, hosts = self._room()
+        self.room = Room(self._bytes())
         self.core = Core(settings, config.seed, self.timers, config.columns, make)
         self.upstream = Upstream(loop, self.timers, hosts,
                                   settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns,
-                                  self.stats)
+                                  self.stats, self.room)
         # Read once: a host's start must be the same number each time it is told.
         self._offset = time.monotonic_ns() - time.time_ns()
         self.discovery = Discovery(loop, self.timers, config.discovery,
                                     Lines(config.zones, config.kinds, self._offset),
                                     not settings.ask_discovery, self._on_list)
         self.core.attach(self.upstream, self.discovery)
-        self.server = Server(self.core, settings, clients, self.stats)
+        self.server = Server(self.core, settings, clients, self.stats, self.room)
         self.admin = Admin({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars,
                             ("POST", "/_lameduck/on"): lambda: self._drain(True),
                             ("POST", "/_lameduck/off"): lambda: self._drain(False)})
@@ -230,6 +237,11 @@
         free = max(16, free)
         return int(free * part), int(free * (1 - part))
 
+    def _bytes(self) -> int:
+        """What long messages may hold: the memory limit but for the program, and half of it while two run."""
+        free = max(self._config.memory - (ITSELF << 20), self._config.memory // 4)
+        return free // 2 if self._beside else free
+
     def _look(self) -> bool:
         """Look for another process of this gateway, and hold no more than is left beside it."""
         beside = self.handover.beside()
@@ -238,6 +250,7 @@
             self._beside = beside
             self.server.max_open, self.upstream.max_open = self._room()
             self.upstream.trim()
+            self.room.most = self._bytes()
         return beside
 
     def _looked(self, _: None) -> None:
--- a/gateway/body.py
+++ b/gateway/body.py
@@ -9,6 +9,31 @@
 """So much of a body is held to be sent again; bytes.  Shorter ones are never streamed."""
 
 
+PIECE = 64 * 1024
+"""Most that is read in one call, bytes."""
+LEAST = 8 * 1024
+"""And where many streams share the room."""
+HOLDS = 4
+"""Pieces that a stream holds at most: one that is read, one to be written, and their copies on the way."""
+
+
+class Room:
+    """What long messages on their way may hold together, in bytes."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.streams = 0
+
+    def piece(self) -> int:
+        """Most that a stream may read in one call: the more there are, the less."""
+        return max(LEAST, min(PIECE, self.most // (HOLDS * max(1, self.streams))))
+
+    @property
+    def full(self) -> bool:
+        """Whether there is no room for one more long body, nor for its start, which is held."""
+        return (KEPT + HOLDS * LEAST) * (self.streams + 1) > self.most
+
+
 class Sink(Protocol):
     """Where a body goes: a connection to a host."""
 
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -14,11 +14,11 @@
 
 from bridgesaddle.api import MS, SECOND, Effect, Settings
 
-from .body import Body
+from .body import PIECE, Body, Room
 from .core import Core, Request
 from .stats import Stats
 from .timers import now_ns
-from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, MAX_LONG, PIECE, STALL, Answer, Attempt, Header
+from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, MAX_LONG, STALL, Answer, Attempt, Header
 
 log = logging.getLogger("gateway.server")
 
@@ -334,7 +334,7 @@
                 self.server.core.on_gone(exchange.request)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._piece
+        return self._piece[:self.server.room.piece()] if self._coming is not None else self._piece
 
     def buffer_updated(self, nbytes: int) -> None:
         self.data_received(self._piece[:nbytes])
@@ -587,6 +587,11 @@
         """Whether nothing has come after this request: guards against closing on one that has."""
         return not self._in_message and bool(self._exchanges) and self._exchanges[-1] is exchange
 
+    @property
+    def streams(self) -> int:
+        """Long messages that are on their way here."""
+        return (self._coming is not None) + sum(item.source is not None for item in self._exchanges)
+
     def between_requests(self) -> bool:
         """Whether nothing has come that is not answered."""
         return not self._exchanges and not self._in_message
@@ -634,8 +639,9 @@
 class Server:
     """All connections of clients."""
 
-    def __init__(self, core: Core, settings: Settings, max_open: int, stats: Stats) -> None:
+    def __init__(self, core: Core, settings: Settings, max_open: int, stats: Stats, room: Room) -> None:
         self.core = core
+        self.room = room
         self.stats = stats
         self.on_settings(settings)
         self.max_open = max_open
@@ -692,7 +698,7 @@
             exchange.respond(400, [], b"a request with this id is open\n")
             return
         exchange.cls = asked.name.decode()
-        if exchange.conn.surplus:
+        if exchange.conn.surplus or (coming is not None and self.room.full):
             exchange.close = True
             exchange.refused(0)   # nothing was sent for it
             return
@@ -708,6 +714,7 @@
         """Look after all connections."""
         for conn in list(self._connections):
             conn.sweep(now)
+        self.room.streams = sum(conn.streams for conn in self._connections)
 
     @property
     def pending(self) -> int:
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -15,7 +15,7 @@
 
 from bridgesaddle.api import MS, SECOND, HostId, HostState, Outcome
 
-from .body import Body
+from .body import PIECE, Body, Room
 from .discovery import Listed
 from .stats import Stats
 from .timers import Timers, now_ns
@@ -26,8 +26,6 @@
 """Longest body of a message that is collected whole, bytes; past that it is streamed."""
 MAX_LONG = 32 * 1024 * 1024
 """Longest body of any message, bytes."""
-PIECE = 64 * 1024
-"""Most that is read in one call, bytes: one piece a stream may wait to be passed on."""
 UNTOLD = 100 * MS
 """An answer whose length is not told is collected for so long: a long one's first bytes are waited for."""
 STALL = 10 * SECOND
@@ -248,7 +246,7 @@
                 self._pool.stats.upstream_requests += 1
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._piece
+        return self._piece[:self._pool.room.piece()] if self._stream else self._piece
 
     def buffer_updated(self, nbytes: int) -> None:
         self.moved = now_ns()
@@ -447,8 +445,9 @@
     """All connections to hosts, within one bound; it sends what it is given and nothing by itself."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, max_open: int,
-                 connect_timeout_ns: int, idle_ns: int, stats: Stats) -> None:
+                 connect_timeout_ns: int, idle_ns: int, stats: Stats, room: Room) -> None:
         self._loop = loop
+        self.room = room
         self.stats = stats
         self.timers = timers
         self.max_open = max_open
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bridgesaddle.api import MS, SECOND, Outcome
-from gateway.body import KEPT, Body
+from gateway.body import KEPT, Body, Room
 from gateway.server import ARRIVE
 from gateway.timers import now_ns
 from tests.sockets import OK, Client, FakeHost, Stage, play, request, until
@@ -314,5 +314,27 @@
     assert (second.got[-1:], second.ended) == (b"c", True)
 
 
+def test_many_streams_share_the_room() -> None:
+    room = Room(48 << 20)
+    alone = room.piece()
+    room.streams = 600
+    assert 8 * 1024 <= room.piece() < alone == 64 * 1024
+    assert room.full and 4 * room.piece() * room.streams <= room.most
+
+
+def test_without_room_a_long_body_is_refused_unsent() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host)
+            stage.gateway.room.most = 1000
+            client = await stage.client()
+            status, headers, _ = await client.ask(request("once", body=LONG[:2 * KEPT]))
+            assert (status, headers["connection"]) == (503, "close")
+            assert (await (await stage.client()).ask(request("once", rid="r2", body=LONG[:KEPT])))[0] == 200
+            assert (await host.seen.get()).headers["x-request-id"] == "r2"
+    play(scene)
+
+
 def test_slow_heads_have_their_time() -> None:
     assert 2 * SECOND < ARRIVE <= 2750 * MS   # with a sweep of 250 ms: 3 s
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bridgesaddle.api import MS, SECOND, HostEntry, HostState, Outcome
+from gateway.body import Room
 from gateway.discovery import Listed
 from gateway.stats import Stats
 from gateway.timers import Timers, now_ns
@@ -24,7 +25,7 @@
     def __init__(self) -> None:
         loop = asyncio.get_running_loop()
         self.timers = Timers(loop)
-        self.upstream = Upstream(loop, self.timers, 20, 250 * MS, 15 * SECOND, Stats())
+        self.upstream = Upstream(loop, self.timers, 20, 250 * MS, 15 * SECOND, Stats(), Room(1 << 20))
 
     def tell(self, address: str, state: HostState = HostState.READY, started_ns: int = 0) -> None:
         host, _, port = address.rpartition(":")
