--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -38,7 +38,7 @@
             resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, sockets))
     program = await asyncio.create_subprocess_exec(
         *COMMAND, cwd=ROOT, stderr=asyncio.subprocess.PIPE, preexec_fn=limit,
-        env={**os.environ, "EDGE_CONFIG": str(path), **environ})
+        env={**os.environ, "EDGE_CONFIG": str(path), "TMPDIR": str(path.parent), **environ})
     assert program.stderr is not None
     while True:
         line = (await program.stderr.readline()).decode()
