Pass on an answer of untold length in a quarter of the time that is left, at the latest

Held for 0.1 s with less than that left, it was cut at the client's time, though its host went on giving: that loses it. The test shows it with a hold of 10 s: it waited in vain before. A longer hold than a quarter helps no retry either.

--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -338,7 +338,8 @@
             return
         if self._body and not long and not self._complete and self._length is None and not self._waits:
             self._waits = True
-            self._pool.timers.after(UNTOLD, self._overdue, attempt)
+            left = max(0, attempt.due - now_ns())   # held until then it would be cut, however long it is
+            self._pool.timers.after(min(UNTOLD, left // 4), self._overdue, attempt)
         if not self._complete:
             if self._broken:
                 log.warning("spoilt answer from %s: %s", self.host.address, self._broken)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bridgesaddle.api import SECOND, Outcome
+from gateway import upstream
 from gateway.__main__ import SWEEP
 from gateway.body import KEPT, Body, Room
 from gateway.server import ARRIVE
@@ -166,6 +167,25 @@
     play(scene)
 
 
+def test_a_long_answer_that_comes_late_is_not_cut_before_its_length_is_known(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    """It was held to the end of the client's time, when the request was given up."""
+    monkeypatch.setattr(upstream, "UNTOLD", 10 * SECOND)
+
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost(reply=None)
+            await stage.begin(host)
+            client = await stage.client()
+            client.send(request(X_Timeout_Ms="900"))
+            seen = await host.seen.get()
+            seen.reply(CHUNKED + chunks(b"first"))
+            assert b" 200 " in await head(client)
+            seen.reply(chunks(LONG) + b"0\r\n\r\n")
+            assert await read_chunks(client.reader) == b"first" + LONG
+    play(scene)
+
+
 @pytest.mark.parametrize("framing", ["length", "chunks"])
 @pytest.mark.parametrize("version", [b"1.1", b"1.0"])
 def test_a_long_answer_that_breaks_can_be_told(framing: str, version: bytes) -> None:
