--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -53,8 +53,8 @@
 """What the program needs for itself, MB: two processes share the rest."""
 BESIDE = 1 * SECOND
 """So often it is looked whether another process of this gateway runs."""
-BESIDE_CLIENTS = 1 / 3
-"""Part of all descriptors that clients hold at most: while two processes run, either may have them all."""
+BESIDE_CLIENTS = 0.65
+"""Part of its half that clients may hold while one does: most of what both hold is theirs."""
 TOLD = 3500 * MS
 """Longest wait for the list before a process takes clients from another: a yes is wanted within 6 s."""
 LINES_PER_S = 50
@@ -232,11 +232,10 @@
 
     def _room(self) -> tuple[int, int]:
         """Connections that clients and hosts may hold: two processes share the limits of one gateway."""
-        free = max(16, self._sockets - RESERVE)
-        if not self._beside:
-            return int(free * CLIENTS), int(free * (1 - CLIENTS))
-        clients = int(self._sockets * BESIDE_CLIENTS)
-        return clients, max(8, (free - RESERVE - clients) // 2)
+        free = self._sockets // 2 - RESERVE if self._beside else self._sockets - RESERVE
+        part = BESIDE_CLIENTS if self._beside else CLIENTS
+        free = max(16, free)
+        return int(free * part), int(free * (1 - part))
 
     def _bytes(self) -> int:
         """What long messages may hold: the memory limit but for the program, and half of it while two run."""
