Hold requests on half of the clients' connections at most, so that new ones are heard

At fault: Balancer._hold, which holds whatever comes.

Both tests were seen to fail without the change.

--- a/bridgesaddle/api.py
+++ b/bridgesaddle/api.py
@@ -152,6 +152,7 @@
     conn_idle_ns: int = 0        # an idle connection is closed after this; 0: not told
     streams_per_conn: int = 1
     open_cap: int = 0            # open requests of a gateway, turned away beyond it before they come here
+    clients_cap: int = 0         # open requests that clients have connections for; 0: not told
     cpu_us_per_s: float = 0.0    # 0: not told
     cpu_us_per_request: float = 0.0
 
@@ -159,7 +160,8 @@
         _positive("limits", max_attempts=self.max_attempts, streams_per_conn=self.streams_per_conn)
         _not_negative("limits", max_retry_after_ns=self.max_retry_after_ns, conn_idle_ns=self.conn_idle_ns,
                       connect_timeout_ns=self.connect_timeout_ns, open_cap=self.open_cap,
-                      cpu_us_per_s=self.cpu_us_per_s, cpu_us_per_request=self.cpu_us_per_request)
+                      clients_cap=self.clients_cap, cpu_us_per_s=self.cpu_us_per_s,
+                      cpu_us_per_request=self.cpu_us_per_request)
 
 
 @dataclass(frozen=True, slots=True)
--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -70,6 +70,7 @@
 ARC = 3.0            # servers a gateway draws from, in fair shares: their users differ little in number
 ARC_MIN = 2          # and at least so many: a choice of two needs some to choose from
 HOLD_AIM = 0.5       # a request is held for this share of its aim at most
+HELD_MOST = 0.5      # part of the clients' connections that held requests may take
 HELD_SLACK = 32      # ended requests that the heap of held ones may carry before it is built anew
 DOOMED_AIMS = 8      # aims without a request of a class after which one is sent whatever its time left
 PRESSED = 0.05       # share of what is within allowances that misses its aim, where excess is first refused
@@ -900,6 +901,10 @@
             self._held = [entry for entry in self._held if entry[2].held]
             heapify(self._held)
         self._wake(request, request.due - now)
+        # Guards against clients that have no connection left for a new request, as old ones wait on all.
+        most = HELD_MOST * (self._set.limits.clients_cap or inf)
+        while self._held_n > most:
+            self._end(max(entry for entry in self._held if entry[2].held)[2], now)
 
     def _counts(self, cls: _Class) -> float:
         """What an answer in time adds to the told goal, in worth: it counts the worst class once more."""
--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -13,6 +13,7 @@
 import sys
 import time
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 
 import uvloop
@@ -47,6 +48,8 @@
 """Descriptors for everything that is neither a client's nor a host's connection."""
 CLIENTS = 0.55
 """Part of the other descriptors that clients may hold."""
+CLIENTS_MOST = 3
+"""Clients use one in so many of all descriptors for requests at most."""
 MEMORY = 192
 """The limit where none is told, MB."""
 ITSELF = 40
@@ -150,16 +153,16 @@
     """The parts, wired together."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, make: Maker = Balancer) -> None:
-        settings = config.settings
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._sockets = min(config.sockets, soft if soft > 0 else config.sockets)
         self._loop = loop
         self._config = config
-        self._settings = settings
+        self._beside = False
+        settings = self._settings = self._limited(config.settings)
+        self._columns = config.columns
         self.timers = Timers(loop)
         self.stats = Stats()
-        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-        self._sockets = min(config.sockets, soft if soft > 0 else config.sockets)
         self.handover = Handover(config.listen)
-        self._beside = False
         clients, hosts = self._room()
         self.room = Room(self._bytes())
         self.core = Core(settings, config.seed, self.timers, config.columns, make)
@@ -237,6 +240,11 @@
         free = max(16, free)
         return int(free * part), int(free * (1 - part))
 
+    def _limited(self, settings: Settings) -> Settings:
+        """The settings, and how many requests clients can have open: two processes share what they have."""
+        cap = self._sockets // (2 * CLIENTS_MOST if self._beside else CLIENTS_MOST)
+        return replace(settings, limits=replace(settings.limits, clients_cap=cap))
+
     def _bytes(self) -> int:
         """What long messages may hold: the memory limit but for the program, and half of it while two run."""
         free = max(self._config.memory - (ITSELF << 20), self._config.memory // 4)
@@ -251,6 +259,8 @@
             self.server.max_open, self.upstream.max_open = self._room()
             self.upstream.trim()
             self.room.most = self._bytes()
+            self._settings = self._limited(self._settings)
+            self.core.on_settings(self._settings, self._columns)
         return beside
 
     def _looked(self, _: None) -> None:
@@ -293,9 +303,10 @@
             return
         self.stats.config_reloads += 1
         log.info("SIGHUP: discovery is at %s:%d", *told.discovery)
-        settings = self._settings = told.settings
+        settings = self._settings = self._limited(told.settings)
         self.server.on_settings(settings)
         self.upstream.on_settings(settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns)
+        self._columns = told.columns
         self.core.on_settings(settings, told.columns)
         self.discovery.move(told.discovery, Lines(told.zones, told.kinds, self._offset),
                             not settings.ask_discovery)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -182,6 +182,21 @@
         gateway.module.on_request(0, rid, 0, 0, 0, SECOND, 0, False)
 
 
+def test_held_requests_leave_connections_for_new_ones() -> None:
+    """All of the clients' connections were taken by requests that waited: nobody heard of new ones."""
+    classes = (a_class(name="cheap", worth=1.0), a_class(name="dear", worth=9.0))
+    gateway = Gateway(some_settings(*classes, limits=Limits(max_attempts=5, clients_cap=8)), [entry("h")])
+    cheap = [gateway.request(0) for _ in range(20)]
+    dear = [gateway.request(1) for _ in range(3)]
+    out = {rid for rid, _, _ in gateway.sends}
+    waiting = {*cheap, *dear} - out - gateway.ends.keys()
+    assert gateway.now == 0   # whoever does not wait has been told at once
+    assert len(waiting) == 4
+    assert waiting >= {*dear} - out
+    assert set(gateway.ends.values()) == {"refuse"}
+    assert not gateway.broken
+
+
 def test_nobody_passes_those_who_are_held() -> None:
     """A newcomer had a second draw for room and went past dearer requests that were waiting."""
     dear, cheap = a_class(name="dear", worth=9.0), a_class(name="cheap", worth=1.0)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import tempfile
+from pathlib import Path
 
 import pytest
 
 from bridgesaddle.api import MS
+from gateway import __main__ as program
 from gateway.admin import CALLERS
+from gateway.handover import Handover
 from gateway.server import DRAIN_IDLE
 from gateway.timers import now_ns
-from tests.sockets import FakeHost, Stage, play, request
+from tests.sockets import FakeHost, Stage, play, request, until
 from tests.test_server import Fails, Refuses
 
 OPERATOR = {"operator": "127.0.0.1:0"}
@@ -182,3 +187,32 @@
             assert (await call(stage, OFF))[0] == 409   # it leaves all the same
             assert (await call(stage, READY))[0] == 503
     play(scene)
+
+
+@pytest.mark.parametrize(("two", "most"), [(False, 48), (True, 24)])
+def test_requests_wait_on_half_of_the_connections_that_clients_have(two: bool, most: int, tmp_path: Path,
+                                                                    monkeypatch: pytest.MonkeyPatch) -> None:
+    """A third of 288 descriptors is for clients' requests, at both processes together while there are two."""
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+    monkeypatch.setattr(program, "TOLD", MS)   # nobody tells the list
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        address: tuple[str, int] = free.getsockname()
+    other = Handover(address)
+    if two:
+        other.register()
+
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost(reply=None)
+            await stage.begin(host, told={"listen": "{}:{}".format(*address), "limits": {"sockets": 288}})
+            server, clients = stage.gateway.server, [await stage.client() for _ in range(60)]
+            asking = [asyncio.ensure_future(client.ask(request(rid=f"r{number}")))
+                      for number, client in enumerate(clients)]
+            await until(lambda: server.reading + sum(ask.done() for ask in asking) == 60)
+            await until(lambda: host.seen.qsize() == stage.gateway.upstream.opened)
+            assert server.pending - host.seen.qsize() == most
+            assert {(await ask)[0] for ask in asking if ask.done()} == {503}
+            for ask in asking:
+                ask.cancel()
+    play(scene)
+    other.close()
