Count a host as avoided only where requests of all classes avoid it

At fault: Balancer.members_unavailable, which asked for requests of one T1. Now the longest usual T1 of any class counts.

The test was seen to fail without the change.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -562,10 +562,12 @@
 
     def _t1(self, request: _Request) -> int:
         left = T1_OF_LEFT * (request.deadline - request.born)
-        # Guards against time-outs learnt from a few short answers: the told aim is the floor.
-        usual = max(request.expected(T1_DEVIATIONS), T1_OF_AIM * request.aim)
-        request.usual_t1 = max(self._set.tick_ns, int(usual))
-        return max(self._set.tick_ns, int(min(usual, left)))
+        request.usual_t1 = self._usual_t1(request.expected(T1_DEVIATIONS), request.aim)
+        return max(self._set.tick_ns, min(request.usual_t1, int(left)))
+
+    def _usual_t1(self, expected: float, aim: int) -> int:
+        """Guards against time-outs learnt from a few short answers: the told aim is the floor."""
+        return max(self._set.tick_ns, int(max(expected, T1_OF_AIM * aim)))
 
     def _p(self, server: _Estimate, t1: int, now: int) -> float:
         """The paper's retransmission probability."""
@@ -846,9 +848,11 @@
         self._tick(now_ns)
 
     def members_unavailable(self, now_ns: int) -> int:
-        """Listed servers that originals avoid now: they drain, or fail too often."""
+        """Listed servers that originals of all classes avoid now: they drain, or fail too often."""
         now = max(now_ns, self._now)
-        return sum(server.state is not HostState.READY or self._shunned(server, POOL_T1, now)
+        longest = max([POOL_T1, *(self._usual_t1(cls.mean + T1_DEVIATIONS * cls.spread, cls.aim)
+                                  for cls in self._classes)])
+        return sum(server.state is not HostState.READY or self._shunned(server, longest, now)
                    for server in self._servers.values())
 
     def _tick(self, now_ns: int) -> int:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -626,6 +626,27 @@
     assert not gateway.broken
 
 
+def test_a_server_that_one_class_still_goes_to_is_not_told_as_unavailable() -> None:
+    """One that short requests avoided was counted, while long ones, which can wait, were sent there."""
+    classes = (a_class(name="short"), a_class(name="long", aim_ns=2 * SECOND, deadline_ns=5 * SECOND))
+    gateway = Gateway(some_settings(*classes), [entry("sick"), entry("well")])
+
+    def ask(cls: int) -> HostId:
+        rid = gateway.request(cls)
+        gateway.run(gateway.now + 20 * MS)
+        first: HostId = gateway.held[rid].out[0]
+        while gateway.held[rid].out:
+            sick = gateway.held[rid].out[min(gateway.held[rid].out)] == "sick"
+            gateway.outcome(rid, Outcome.ERROR if sick else Outcome.OK, spent_ns=20 * MS)
+            gateway.run(gateway.now + 400 * MS)
+        return first
+
+    while gateway.module._servers["sick"].q_avg < 360 * MS:
+        ask(0)
+    assert gateway.module.members_unavailable(gateway.now) == 0
+    assert "sick" in {ask(1) for _ in range(6)}
+
+
 def test_servers_that_fail_or_drain_are_told_as_unavailable() -> None:
     hosts = [entry(f"h{n}") for n in range(4)] + [entry("leaving", state=HostState.DRAINING)]
     gateway = Gateway(some_settings(), hosts)
