Start gently beside a process that serves: both were stopped by one that starts at full speed

Steps of 10 ms showed both processes of a gateway in state T for 90 to 120 ms, 0.15 s after the second one's start. Ruled out: a lower priority, as the share counts time. gateway/program.py is what gateway/__main__.py was, unchanged. The test was seen to fail without the pauses.

--- /dev/null
+++ b/gateway/program.py
@@ -0,0 +1,399 @@
+"""Configuration, signals and wiring of the real gateway."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import resource
+import signal
+import socket
+import sys
+import time
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Any
+
+import uvloop
+
+from bridgesaddle import Balancer
+from bridgesaddle.api import MS, SECOND, ListKind, Settings
+from bridgesaddle.wire import WireError, parse_settings
+
+from .admin import Admin, Answered
+from .body import Room
+from .core import Core, Maker
+from .discovery import Discovery, Lines, Listed
+from .handover import Handover
+from .peers import Peers
+from .server import Server
+from .stats import Stats
+from .timers import Timers, now_ns
+from .upstream import Upstream
+
+log = logging.getLogger("gateway")
+
+SWEEP = 500 * MS
+CROSSING = 600 * MS
+"""After SIGTERM new connections go on coming for 0.4 s at most; they are taken for somewhat longer."""
+LEAVE_MOST = 3 * SECOND
+LEAVE_MORE = 200 * MS
+"""So long after SIGTERM, and after the longest deadline, the program ends whatever is held.
+
+SIGKILL comes from 0.7 s after that deadline on, which counts as 3 s at most.
+"""
+RESERVE = 48
+"""Descriptors for everything that is neither a client's nor a host's connection."""
+CLIENTS = 0.55
+"""Part of the other descriptors that clients may hold."""
+CLIENTS_MOST = 3
+"""Clients use one in so many of all descriptors for requests at most."""
+MEMORY = 192
+"""The limit where none is told, MB."""
+ITSELF = 40
+"""What the program needs for itself, MB: two processes share the rest."""
+BESIDE = 1 * SECOND
+"""So often it is looked whether another process of this gateway runs."""
+BESIDE_CLIENTS = 0.65
+"""Part of its half that clients may hold while one does: most of what both hold is theirs."""
+TOLD = 3500 * MS
+"""Longest wait for the list before a process takes clients from another: a yes is wanted within 6 s."""
+LINES_PER_S = 50
+"""Log lines a second: an attacker must not make the gateway spend its time on writing."""
+
+
+class BadConfig(Exception):
+    """A configuration the gateway can't start with."""
+
+
+class Config:
+    """What a gateway is told."""
+
+    def __init__(self, environ: Mapping[str, str]) -> None:
+        try:
+            self.path = environ["EDGE_CONFIG"]
+            with open(self.path, "rb") as file:
+                told: dict[str, Any] = json.load(file)
+            self.told = told
+            self.listen = _address(environ.get("EDGE_LISTEN") or told["listen"])
+            self.discovery = _address(environ.get("EDGE_DISCOVERY") or told["discovery"])
+            self.seed = int(str(told.get("seed", "0")), 16)
+            self.sockets = int(told.get("limits", {}).get("sockets", 1024))
+            self.memory = int(told.get("limits", {}).get("memory_mb", MEMORY)) << 20
+            self.known = told.get("known", {"generation": 0, "reset": True, "instances": []})
+            raw = told["settings"]
+            self.settings: Settings = parse_settings(json.dumps(raw).encode())
+            self.zones = [str(name) for name in raw.get("zones", ())]
+            self.columns = [str(name) for name in raw.get("load-report", {}).get("columns", ())]
+            self.peers = [_address(text) for text in told.get("peers", ())]
+            everyone, own = told.get("peers_all"), told.get("peer_listen")
+            self.peers_all = _address(everyone) if everyone else None
+            self.peer_listen = _address(own) if own else None
+            operator = environ.get("EDGE_OPERATOR") or told.get("operator")
+            self.operator = _address(operator) if operator else None
+            self.kinds = [str(name) for name in raw.get("flavors", ())]
+        except KeyError as error:
+            raise BadConfig(f"{error} is missing") from None
+        except (OSError, ValueError, TypeError, AttributeError, RecursionError, WireError) as error:
+            raise BadConfig(str(error)) from None
+        names = [item.name for item in self.settings.classes]
+        if len(set(names)) < len(names):
+            raise BadConfig("two classes of one name")
+
+    def follow(self, old: Config) -> None:
+        """Raises BadConfig where this lacks a key that the first one had: guards against half a file."""
+        missing = sorted(_missing(old.told, self.told, ""))
+        if missing:
+            raise BadConfig(f"{', '.join(missing)} is missing")
+
+
+MAY_GO = frozenset(("operator", "peers", "peers_all", "peer_listen", "aim-stretch", "family-info"))
+"""Keys that a later configuration need not have."""
+
+
+def _missing(old: Any, new: Any, path: str) -> set[str]:
+    """Keys that the old one has and the new one lacks; what all classes had, all have to have."""
+    if isinstance(old, dict):
+        if not isinstance(new, dict):
+            return {path}
+        return {lack for key in old if key not in MAY_GO
+                for lack in (_missing(old[key], new[key], f"{path}.{key}".lstrip(".")) if key in new
+                             else {f"{path}.{key}".lstrip(".")})}
+    if path == "settings.request-classes":
+        keys = set.intersection(*(set(row) for row in old))
+        return {lack for row in new for lack in _missing(dict.fromkeys(keys), row, path)}
+    return set()
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return host.strip("[]"), int(port)
+
+
+class _Sparing(logging.Filter):
+    """Lets so many lines a second through."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._second = 0
+        self._count = 0
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        if int(record.created) != self._second:
+            self._second, self._count = int(record.created), 0
+        self._count += 1
+        return self._count <= LINES_PER_S
+
+
+class Gateway:
+    """The parts, wired together."""
+
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, make: Maker = Balancer) -> None:
+        soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        self._sockets = min(config.sockets, soft if soft > 0 else config.sockets)
+        self._loop = loop
+        self._config = config
+        self._beside = False
+        settings = self._settings = self._limited(config.settings)
+        self._columns = config.columns
+        self.timers = Timers(loop)
+        self.stats = Stats()
+        self.handover = Handover(config.listen)
+        clients, hosts = self._room()
+        self.room = Room(self._bytes())
+        self.core = Core(settings, config.seed, self.timers, config.columns, make)
+        self.upstream = Upstream(loop, self.timers, hosts,
+                                  settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns,
+                                  self.stats, self.room)
+        # Read once: a host's start must be the same number each time it is told.
+        self._offset = time.monotonic_ns() - time.time_ns()
+        self.discovery = Discovery(loop, self.timers, config.discovery,
+                                    Lines(config.zones, config.kinds, self._offset),
+                                    not settings.ask_discovery, self._on_list)
+        self.core.attach(self.upstream, self.discovery)
+        self.server = Server(self.core, settings, clients, self.stats, self.room)
+        self.admin = Admin({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars,
+                            ("POST", "/_lameduck/on"): lambda: self._drain(True),
+                            ("POST", "/_lameduck/off"): lambda: self._drain(False)})
+        self._listener: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._taking: set[asyncio.Task[Any]] = set()   # connections that came with the end of the listener
+        self._told = asyncio.Event()
+        self._done = asyncio.Event()
+        self._stop_at = 0
+
+    async def start(self) -> tuple[str, int]:
+        """Begin to watch and, once clients can be served, to listen; returns the address."""
+        self.handover.register()
+        beside = self._look()
+        if self._config.operator is not None:
+            self.operator = await self.admin.listen(self._loop, self._config.operator)
+            log.info("operators call %s:%d", *self.operator)
+        self.discovery.known(self._config.known)
+        self.discovery.start()
+        self.timers.after(SWEEP, self._sweep, None)
+        self.timers.after(BESIDE, self._looked, None)
+        if beside:   # the other one serves meanwhile; a bound socket would draw clients at once
+            try:
+                await asyncio.wait_for(self._told.wait(), TOLD / SECOND)
+            except TimeoutError:
+                log.warning("discovery has not told the list: the known one must do")
+        if self._stop_at:   # told to end before it took clients
+            return self._config.listen
+        self._socket = _bound(self._config.listen)
+        self._listener = await self._loop.create_server(self.server.connection, sock=self._socket,
+                                                        backlog=1024)
+        self.handover.serving()
+        if self._config.settings.limits.peers and self._config.peer_listen is not None:
+            self.core.peers = Peers(self._config.peers, self._config.peers_all, self.core.on_peer)
+            peers = self.core.peers
+            await self._loop.create_datagram_endpoint(lambda: peers, self._config.peer_listen,
+                                                      reuse_port=True)
+        name: tuple[str, int] = self._listener.sockets[0].getsockname()[:2]
+        log.info("listening on %s:%d", *name)
+        return name
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)   # first: its default ends the program
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self.stop)
+        try:
+            await self.start()
+        except OSError as error:
+            raise BadConfig(f"can't listen: {error}") from None
+        await self._done.wait()
+
+    def _on_list(self, kind: ListKind, listed: list[Listed]) -> None:
+        self.core.on_list(kind, listed)
+        if kind is ListKind.FULL or kind is ListKind.DELTA:
+            self._told.set()
+
+    def _room(self) -> tuple[int, int]:
+        """Connections that clients and hosts may hold: two processes share the limits of one gateway."""
+        free = self._sockets // 2 - RESERVE if self._beside else self._sockets - RESERVE
+        part = BESIDE_CLIENTS if self._beside else CLIENTS
+        free = max(16, free)
+        return int(free * part), int(free * (1 - part))
+
+    def _limited(self, settings: Settings) -> Settings:
+        """The settings, and how many requests clients can have open: two processes share what they have."""
+        cap = self._sockets // (2 * CLIENTS_MOST if self._beside else CLIENTS_MOST)
+        return replace(settings, limits=replace(settings.limits, clients_cap=cap))
+
+    def _bytes(self) -> int:
+        """What long messages may hold: the memory limit but for the program, and half of it while two run."""
+        free = max(self._config.memory - (ITSELF << 20), self._config.memory // 4)
+        return free // 2 if self._beside else free
+
+    def _look(self) -> bool:
+        """Look for another process of this gateway, and hold no more than is left beside it."""
+        beside = self.handover.beside()
+        if beside != self._beside:
+            log.info("another process of this gateway %s", "runs" if beside else "has ended")
+            self._beside = beside
+            self.server.max_open, self.upstream.max_open = self._room()
+            self.upstream.trim()
+            self.room.most = self._bytes()
+            self._settings = self._limited(self._settings)
+            self.core.on_settings(self._settings, self._columns)
+        return beside
+
+    def _looked(self, _: None) -> None:
+        self._look()
+        self.timers.after(BESIDE, self._looked, None)
+
+    def _sweep(self, _: None) -> None:
+        now = now_ns()
+        self.upstream.sweep(now)
+        self.discovery.sweep(now)
+        self.server.sweep(now)
+        self.admin.sweep(now)
+        self.timers.after(SWEEP, self._sweep, None)
+
+    def _ready(self) -> Answered:
+        ready = self._listener is not None and self.server.ready
+        return (200, b"ready\n") if ready else (503, b"not ready\n")
+
+    def _drain(self, on: bool) -> Answered:
+        """Send clients away, or take them again; once the program is leaving it stays drained."""
+        if self._stop_at and not on:
+            return 409, b"leaving\n"
+        if self.server.draining != on:
+            log.info("clients are sent away" if on else "clients are taken again")
+        self.server.draining = on
+        return (200, b"draining\n") if on else (200, b"taking clients\n")
+
+    def _vars(self) -> Answered:
+        return 200, self.stats.text({"pending": self.server.pending, "members": self.upstream.listed,
+                                     "members_unavailable": self.core.members_unavailable()})
+
+    def reload(self) -> None:
+        """SIGHUP: settings may have changed, discovery moved; a file that is not right changes nothing."""
+        try:   # the file alone: what the environment says of discovery is from the start
+            told = Config({"EDGE_CONFIG": self._config.path})
+            told.follow(self._config)
+        except BadConfig as error:
+            self.stats.config_reload_errors += 1
+            log.warning("SIGHUP: the configuration stays as it was: %s", " ".join(str(error).split()))
+            return
+        self.stats.config_reloads += 1
+        log.info("SIGHUP: discovery is at %s:%d", *told.discovery)
+        settings = self._settings = self._limited(told.settings)
+        self.server.on_settings(settings)
+        self.upstream.on_settings(settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns)
+        self._columns = told.columns
+        self.core.on_settings(settings, told.columns)
+        self.discovery.move(told.discovery, Lines(told.zones, told.kinds, self._offset),
+                            not settings.ask_discovery)
+
+    def stop(self) -> None:
+        """SIGTERM: unready at once, but what crosses it on the way is still taken and answered."""
+        if self._stop_at:
+            return
+        self._stop_at = now_ns()
+        self._told.set()
+        self._drain(True)
+        self.server.succeeded = self.handover.succeeded()
+        if self.server.succeeded:
+            log.info("another process takes the clients")
+            self._stop_listening(None)
+        else:
+            self.timers.after(CROSSING, self._stop_listening, None)
+
+    def _stop_listening(self, _: None) -> None:
+        """Close the listener, but take what waits at it: the close would reset it unheard."""
+        waiting = []
+        if self._listener is not None and self._socket is not None:
+            try:
+                while True:
+                    waiting.append(self._socket.accept()[0])
+            except OSError:
+                pass   # none is left
+            self._listener.close()
+        for sock in waiting:
+            sock.setblocking(False)
+            task = self._loop.create_task(self._loop.connect_accepted_socket(self.server.connection, sock))
+            self._taking.add(task)
+            task.add_done_callback(self._taking.discard)
+        self._leave(None)
+
+    def _leave(self, _: None) -> None:
+        """End once nothing is owed any more; every request has a deadline, so this ends."""
+        longest = max(item.deadline_ns for item in self._settings.classes)
+        late = now_ns() - self._stop_at > min(longest, LEAVE_MOST) + LEAVE_MORE
+        if late:
+            self.core.fail_all()
+        if not (self.server.open or self._taking) or late:
+            self.handover.close()
+            self.admin.close()
+            self.discovery.close()
+            self.upstream.close()
+            if self.core.peers is not None:
+                self.core.peers.close()
+            self._done.set()
+        else:
+            self.timers.after(20 * MS, self._leave, None)
+
+
+def _bound(address: tuple[str, int]) -> socket.socket:
+    """A socket for clients: another process of this gateway may listen there too."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        sock.bind(address)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+async def _main(config: Config) -> None:
+    await Gateway(config, asyncio.get_running_loop()).run()
+
+
+def main() -> int:
+    """Run as a program; 0 after SIGTERM, 2 if the configuration is of no use."""
+    handler = logging.StreamHandler()
+    handler.addFilter(_Sparing())
+    logging.basicConfig(level=logging.INFO, handlers=[handler], format="%(asctime)s %(name)s %(message)s")
+    try:
+        config = Config(os.environ)
+    except BadConfig as error:
+        print(f"gateway: EDGE_CONFIG: {' '.join(str(error).split())}", file=sys.stderr)
+        return 2
+    gc.freeze()   # what is loaded by now lives as long as the process: the collector need not look again
+    gc.set_threshold(50_000, 20, 50)
+    try:
+        uvloop.run(_main(config))
+    except BadConfig as error:
+        print(f"gateway: {error}", file=sys.stderr)
+        return 1
+    return 0
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -15,8 +15,8 @@
 import uvloop
 
 from bridgesaddle import Balancer
-from gateway.__main__ import Config, Gateway
 from gateway.core import Maker
+from gateway.program import Config, Gateway
 
 LIMIT_S = 20.0
 """No test waits longer than this for an event that does not come."""
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -25,7 +25,7 @@
     subprocess.run(["/bin/sh", "-c", build], cwd=tmp_path, check=True)
     shutil.copytree(tmp_path, tmp_path / "moved", symlinks=True)   # with other times than at the build
     done = subprocess.run(
-        [".venv/bin/python", "-B", "-v", "-c", "import gateway.__main__, bridgesaddle.drill"],
+        [".venv/bin/python", "-B", "-v", "-c", "import gateway.program, bridgesaddle.drill"],
         cwd=tmp_path / "moved", check=True, capture_output=True, text=True)
     loaded = [line for line in done.stderr.splitlines()
               if line.startswith("# code object from") and str(tmp_path) in line]
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -9,8 +9,8 @@
 
 from bridgesaddle.api import SECOND, Outcome
 from gateway import upstream
-from gateway.__main__ import SWEEP
 from gateway.body import KEPT, Body, Room
+from gateway.program import SWEEP
 from gateway.server import ARRIVE
 from gateway.timers import now_ns
 from tests.sockets import OK, Client, FakeHost, Stage, play, request, until
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -10,7 +10,7 @@
 import pytest
 
 from bridgesaddle.api import MS
-from gateway import __main__ as program
+from gateway import program
 from gateway.admin import CALLERS
 from gateway.handover import Handover
 from gateway.server import DRAIN_IDLE
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -10,11 +10,13 @@
 import socket
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from gateway.handover import Handover
 from tests.sockets import OK, SETTINGS, Client, FakeDiscovery, FakeHost, play, request
 
 ROOT = Path(__file__).parent.parent
@@ -221,6 +223,19 @@
     play(scene)
 
 
+def test_a_start_beside_another_process_leaves_it_most_of_the_time(tmp_path: Path) -> None:
+    """At full speed both went over their share of the core, and were stopped together."""
+    other = Handover(("127.0.0.1", 7070), str(tmp_path))
+    other.register()
+    begun, used = time.monotonic(), resource.getrusage(resource.RUSAGE_CHILDREN)
+    done = subprocess.run(COMMAND, cwd=ROOT, check=False, timeout=20, capture_output=True,
+                          env={**os.environ, "EDGE_CONFIG": "", "TMPDIR": str(tmp_path)})
+    took, now = time.monotonic() - begun, resource.getrusage(resource.RUSAGE_CHILDREN)
+    assert done.returncode == 2   # it has started, and found nothing to be told
+    assert took > 2 * (now.ru_utime + now.ru_stime - used.ru_utime - used.ru_stime)
+    other.close()
+
+
 @pytest.mark.parametrize("taken", ["listen", "operator"])
 def test_an_address_that_is_taken_is_one_plain_line(taken: str, tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as other:
