--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -10,8 +10,13 @@
 import os
 import sys
 import time
+from typing import TYPE_CHECKING
 
-STEPS = ("re", "json", "typing", "inspect", "logging", "tempfile", "socket", "ssl", "concurrent.futures",
+if TYPE_CHECKING:
+    from .handover import Handover
+
+HANDOVER = "gateway.handover"
+STEPS = ("re", "json", "logging", "tempfile", HANDOVER, "inspect", "socket", "ssl", "concurrent.futures",
          "asyncio.events", "asyncio", "uvloop", "httptools", "dataclasses", "bridgesaddle.api",
          "bridgesaddle", "bridgesaddle.wire", "gateway.discovery", "gateway.upstream", "gateway.core",
          "gateway.server", "gateway.program")
@@ -31,8 +36,25 @@
         return False
 
 
+def _announced() -> Handover | None:
+    """Tell the other process of this one, long before it is ready: from now on both share what one has."""
+    import json
+
+    from .handover import Handover
+    try:
+        with open(os.environ["EDGE_CONFIG"], "rb") as file:
+            listen: str = os.environ.get("EDGE_LISTEN") or json.load(file)["listen"]
+        host, _, port = listen.rpartition(":")
+        handover = Handover((host.strip("[]"), int(port)))
+    except (OSError, LookupError, ValueError, TypeError, AttributeError, RecursionError):
+        return None   # the program says what is wrong
+    handover.register()
+    return handover
+
+
 def start() -> int:
     """Import the program, and run it."""
+    early = None
     if _beside():
         used = 0.0   # by the interpreter too
         for name in STEPS:
@@ -40,7 +62,12 @@
             time.sleep(PAUSE * (now - used))
             used = now
             importlib.import_module(name)
-    return int(importlib.import_module("gateway.program").main())
+            if name == HANDOVER:
+                early = _announced()
+    program = importlib.import_module("gateway.program")
+    if early is not None:
+        early.close()   # the program has a file of its own
+    return int(program.main())
 
 
 if __name__ == "__main__":
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -54,7 +54,7 @@
 """The limit where none is told, MB."""
 ITSELF = 40
 """What the program needs for itself, MB: two processes share the rest."""
-BESIDE = 1 * SECOND
+BESIDE = 250 * MS
 """So often it is looked whether another process of this gateway runs."""
 BESIDE_CLIENTS = 0.65
 """Part of its half that clients may hold while one does: most of what both hold is theirs."""
@@ -241,8 +241,11 @@
         return int(free * part), int(free * (1 - part))
 
     def _limited(self, settings: Settings) -> Settings:
-        """The settings, and how many requests clients can have open: two processes share what they have."""
-        cap = self._sockets // (2 * CLIENTS_MOST if self._beside else CLIENTS_MOST)
+        """The settings, and how many requests clients can have open here while two processes share that.
+
+        Alone nothing is told: whoever waits is better off than refused, even where others find no connection.
+        """
+        cap = self._sockets // (2 * CLIENTS_MOST) if self._beside else 0
         return replace(settings, limits=replace(settings.limits, clients_cap=cap))
 
     def _bytes(self) -> int:
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import importlib
 import json
 import os
 import resource
@@ -10,12 +11,16 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 from pathlib import Path
+from types import ModuleType
 from typing import Any
 
 import pytest
 
+from gateway import program
+from gateway.__main__ import start
 from gateway.handover import Handover
 from tests.sockets import OK, SETTINGS, Client, FakeDiscovery, FakeHost, play, request
 
@@ -236,6 +241,35 @@
     other.close()
 
 
+def test_a_starting_process_tells_the_other_one_before_it_is_ready(tmp_path: Path,
+                                                                   monkeypatch: pytest.MonkeyPatch) -> None:
+    """The old one learnt of it half a second later, with all of the clients' connections full by then."""
+    (tmp_path / "c").write_text(json.dumps({"listen": "127.0.0.1:7070"}))
+    monkeypatch.setenv("EDGE_CONFIG", str(tmp_path / "c"))
+    monkeypatch.delenv("EDGE_LISTEN", raising=False)
+    monkeypatch.setattr(tempfile, "tempdir", str(tmp_path))
+    monkeypatch.setenv("TMPDIR", str(tmp_path))
+    serving = Handover(("127.0.0.1", 7070))
+    serving.register()
+    monkeypatch.setattr("gateway.__main__.PAUSE", 0)
+    told: list[bool] = []
+    real = importlib.import_module
+
+    def step(name: str) -> ModuleType:
+        told.append(serving.beside())
+        return real(name)
+
+    def main() -> int:
+        told.append(serving.beside())
+        return 0
+    monkeypatch.setattr(importlib, "import_module", step)
+    monkeypatch.setattr(program, "main", main)
+    assert start() == 0
+    assert told[0] is False          # at its first step
+    assert told[-2:] == [True, False]   # and once the program has a file of its own
+    serving.close()
+
+
 @pytest.mark.parametrize("taken", ["listen", "operator"])
 def test_an_address_that_is_taken_is_one_plain_line(taken: str, tmp_path: Path) -> None:
     with socket.create_server(("127.0.0.1", 0)) as other:
