--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -40,12 +40,11 @@
     """Tell the other process of this one, long before it is ready: from now on both share what one has."""
     import json
 
-    from .handover import Handover
+    from .handover import Handover, host_and_port
     try:
         with open(os.environ["EDGE_CONFIG"], "rb") as file:
             listen: str = os.environ.get("EDGE_LISTEN") or json.load(file)["listen"]
-        host, _, port = listen.rpartition(":")
-        handover = Handover((host.strip("[]"), int(port)))
+        handover = Handover(host_and_port(listen))
     except (OSError, LookupError, ValueError, TypeError, AttributeError, RecursionError):
         return None   # the program says what is wrong
     handover.register()
--- a/gateway/handover.py
+++ b/gateway/handover.py
@@ -17,6 +17,14 @@
 SERVING = b"serving\n"
 
 
+def host_and_port(text: str) -> tuple[str, int]:
+    """An address as configurations word it."""
+    host, _, port = text.rpartition(":")
+    if not host or not 0 <= int(port) < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return host.strip("[]"), int(port)
+
+
 class Handover:
     """This process's file, and a look at those of others with the same address for clients."""
 
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -26,7 +26,7 @@
 from .body import Room
 from .core import Core, Maker
 from .discovery import Discovery, Lines, Listed
-from .handover import Handover
+from .handover import Handover, host_and_port
 from .peers import Peers
 from .server import Server
 from .stats import Stats
@@ -77,8 +77,8 @@
             with open(self.path, "rb") as file:
                 told: dict[str, Any] = json.load(file)
             self.told = told
-            self.listen = _address(environ.get("EDGE_LISTEN") or told["listen"])
-            self.discovery = _address(environ.get("EDGE_DISCOVERY") or told["discovery"])
+            self.listen = host_and_port(environ.get("EDGE_LISTEN") or told["listen"])
+            self.discovery = host_and_port(environ.get("EDGE_DISCOVERY") or told["discovery"])
             self.seed = int(str(told.get("seed", "0")), 16)
             self.sockets = int(told.get("limits", {}).get("sockets", 1024))
             self.memory = int(told.get("limits", {}).get("memory_mb", MEMORY)) << 20
@@ -87,12 +87,12 @@
             self.settings: Settings = parse_settings(json.dumps(raw).encode())
             self.zones = [str(name) for name in raw.get("zones", ())]
             self.columns = [str(name) for name in raw.get("load-report", {}).get("columns", ())]
-            self.peers = [_address(text) for text in told.get("peers", ())]
+            self.peers = [host_and_port(text) for text in told.get("peers", ())]
             everyone, own = told.get("peers_all"), told.get("peer_listen")
-            self.peers_all = _address(everyone) if everyone else None
-            self.peer_listen = _address(own) if own else None
+            self.peers_all = host_and_port(everyone) if everyone else None
+            self.peer_listen = host_and_port(own) if own else None
             operator = environ.get("EDGE_OPERATOR") or told.get("operator")
-            self.operator = _address(operator) if operator else None
+            self.operator = host_and_port(operator) if operator else None
             self.kinds = [str(name) for name in raw.get("flavors", ())]
         except KeyError as error:
             raise BadConfig(f"{error} is missing") from None
@@ -127,13 +127,6 @@
     return set()
 
 
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not 0 <= int(port) < 65536:
-        raise ValueError(f"{text!r} is no address")
-    return host.strip("[]"), int(port)
-
-
 class _Sparing(logging.Filter):
     """Lets so many lines a second through."""
 
