--- a/tests/run.sh
+++ b/tests/run.sh
@@ -1,7 +1,9 @@
 #!/bin/bash
-# Lint, types, tests.  Needs the environment of requirements.txt on the PATH.
+# Lint, types, tests; sets up the environments that they need (bin/env).
 set -euo pipefail
 cd "$(dirname "$0")/.."
+bin/env
+PATH="$PWD/.tools/bin:$PATH"
 ruff check .
 mypy
-python -m pytest
+python -m pytest "$@"
