moleworks: the command, the checker of TOML files, and the rig's schema, host and caller models

Need: a fleet in one command, with faults between its processes. Design in docs/architecture.md: one model, two drivers (virtual time and real processes), one judge that reads only the history; links are proxies that the rig owns.

Rejected: a judge inside the drivers (it would see what they believe and share their code); real processes alone (200 gateways do not fit a machine in real time); fault switches inside the gateway.

Here: config.py tells every fault of a file at once with file and path, exit 2; spec.py is what an experiment may say, with the source of each default; host.py, plan.py and places.py are the models without I/O. Seen: a file with seven wrong values gives seven lines.

--- /dev/null
+++ b/moleworks/__main__.py
@@ -0,0 +1,5 @@
+"""`python -m moleworks`: the command line."""
+
+from moleworks.cli import main
+
+main()
--- /dev/null
+++ b/moleworks/cli/config.py
@@ -0,0 +1,48 @@
+"""`moleworks config`: the files' one checker, from the command line."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+import click
+import msgspec
+
+from moleworks import config
+from moleworks.rig import places, spec
+
+
+@click.group()
+def group() -> None:
+    """Check, show and describe configuration files."""
+
+
+@group.command()
+@click.argument("files", nargs=-1, required=True)
+def check(files: tuple[str, ...]) -> int:
+    """Check experiments; every fault is one line, and exit 2 if there is one."""
+    told: list[str] = []
+    for file in files:
+        try:
+            places.check(config.load(file, spec.Experiment), file)
+            click.echo(f"{file}: is right")
+        except config.ConfigError as error:
+            told += error.lines
+    for line in told:
+        print(line, file=sys.stderr)
+    return 2 if told else 0
+
+
+@group.command()
+@click.argument("file")
+def show(file: str) -> None:
+    """Print an experiment with all its defaults, as JSON."""
+    experiment = config.load(file, spec.Experiment)
+    places.check(experiment, file)
+    click.echo(msgspec.json.format(msgspec.json.encode(experiment), indent=2).decode())
+
+
+@group.command()
+def schema() -> None:
+    """Print the JSON schema of an experiment."""
+    click.echo(json.dumps(msgspec.json.schema(spec.Experiment), indent=2))
--- /dev/null
+++ b/moleworks/rig/real/__init__.py
@@ -0,0 +1,1 @@
+"""Real processes: gateways as they are started in service, with links, hosts and clients on loopback."""
