Rig: virtual driver, history and judge; `moleworks rig run` gives a verdict and a report

Need: see the decision module under faults without sockets, and judge it from outside. The virtual driver plays the module, host model, callers and list service on a heap of events; the judge reads only history.jsonl and imports nothing of the project.

--- a/moleworks/cli/__init__.py
+++ b/moleworks/cli/__init__.py
@@ -8,7 +8,8 @@
 
 import click
 
-GROUPS = {"config": "Check, show and describe configuration files."}
+GROUPS = {"config": "Check, show and describe configuration files.",
+          "rig": "Run a fleet with faults between its processes, and judge it."}
 
 
 class Lazy(click.Group):
--- /dev/null
+++ b/moleworks/rig/report.py
@@ -0,0 +1,102 @@
+"""What a run leaves for people: one HTML file with plots, beside CSV and JSON of the same figures."""
+
+from __future__ import annotations
+
+import base64
+import csv
+import html
+import io
+from collections import Counter
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import matplotlib
+from matplotlib import pyplot
+
+matplotlib.use("svg")
+matplotlib.rcParams["svg.hashsalt"] = "moleworks"   # the same run draws the same bytes
+
+COLUMNS = ("asked", "served", "in_time", "refused", "failed", "cut", "unreachable")
+STYLE = """body{font:15px/1.5 system-ui,sans-serif;max-width:60rem;margin:2rem auto;padding:0 1rem;color:#222}
+table{border-collapse:collapse;margin:1rem 0}td,th{padding:.2rem .8rem;border-bottom:1px solid #ddd;text-align:left}
+td+td{font-variant-numeric:tabular-nums}.held{color:#177245}.broken{color:#b3261e}code{background:#f4f4f4;padding:.1rem
+.3rem}img{max-width:100%}"""
+
+
+def write_csv(path: Path, rows: Iterable[dict[str, Any]], columns: Iterable[str]) -> None:
+    """Rows as CSV."""
+    with open(path, "w", newline="") as file:
+        writer = csv.DictWriter(file, list(columns), extrasaction="ignore", lineterminator="\n")
+        writer.writeheader()
+        writer.writerows(rows)
+
+
+def picture(figure: Any) -> str:
+    """A figure as an image inside the page."""
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="svg", metadata={"Date": None})
+    pyplot.close(figure)
+    return f'<img alt="" src="data:image/svg+xml;base64,{base64.b64encode(buffer.getvalue()).decode()}">'
+
+
+def table(rows: Iterable[tuple[Any, ...]], head: tuple[str, ...] = ()) -> str:
+    """An HTML table."""
+    text = "".join("<tr>" + "".join(f"<td>{html.escape(str(cell))}</td>" for cell in row) + "</tr>" for row in rows)
+    top = "<tr>" + "".join(f"<th>{html.escape(cell)}</th>" for cell in head) + "</tr>" if head else ""
+    return f"<table>{top}{text}</table>"
+
+
+def page(title: str, *parts: str) -> str:
+    """One HTML file, with nothing from elsewhere."""
+    return (f"<!doctype html><html lang=en><meta charset=utf-8><title>{html.escape(title)}</title>"
+            f"<style>{STYLE}</style><h1>{html.escape(title)}</h1>{''.join(parts)}</html>\n")
+
+
+def _spans(faults: list[dict[str, Any]], end: float) -> list[tuple[float, float, str]]:
+    """When each fault was there, s."""
+    open_: dict[int, dict[str, Any]] = {}
+    spans = []
+    for fault in faults:
+        if fault["what"] == "begin":
+            open_[fault["i"]] = fault
+        elif (begun := open_.pop(fault["i"], None)) is not None:
+            spans.append((begun["t"] / 1e9, fault["t"] / 1e9, f"{fault['kind']} {fault['on']}"))
+    return spans + [(fault["t"] / 1e9, end, f"{fault['kind']} {fault['on']}") for fault in open_.values()]
+
+
+def run_report(out: Path, title: str, replay: str, result: dict[str, Any],
+               seconds: dict[int, Counter[str]]) -> None:
+    """`report.html` and `seconds.csv` of one run."""
+    rows = [{"second": second, **seconds[second]} for second in sorted(seconds)]
+    for row in rows:
+        for column in COLUMNS:
+            row.setdefault(column, 0)
+    write_csv(out / "seconds.csv", rows, ("second", *COLUMNS))
+    figure, (top, low) = pyplot.subplots(2, 1, figsize=(9, 5), sharex=True)
+    times = [row["second"] for row in rows]
+    top.step(times, [row["in_time"] / max(1, row["asked"]) for row in rows], where="post", label="in time")
+    top.step(times, [row["served"] / max(1, row["asked"]) for row in rows], where="post", label="served", alpha=0.6)
+    top.set_ylim(0, 1.05)
+    top.set_ylabel("share of first tries")
+    for name in ("asked", "refused", "failed", "unreachable"):
+        low.step(times, [row[name] for row in rows], where="post", label=name)
+    low.set_ylabel("a second")
+    low.set_xlabel("s")
+    for begin, end, words in _spans(result["faults"], times[-1] + 1 if times else 0)[:40]:
+        for axes in (top, low):
+            axes.axvspan(begin, end, alpha=0.12, color="tab:red")
+        top.annotate(words, (begin, 0.02), fontsize=7, rotation=90, va="bottom")
+    for axes in (top, low):
+        axes.legend(loc="lower right", fontsize=8)
+    figure.tight_layout()
+    verdict = result["verdict"]
+    broken = "".join(f"<li>{html.escape(text)}</li>" for text in result["broken"])
+    (out / "report.html").write_text(page(
+        title, f"<p>Verdict: <b class={verdict}>{verdict}</b>. Played again by <code>{html.escape(replay)}</code></p>",
+        f"<ul>{broken}</ul>" if broken else "", picture(figure),
+        table(result["figures"].items(), ("figure", "")),
+        table([(f"{fault['t'] / 1e9:.3f}", fault["what"], fault["kind"], fault["on"], fault["to"])
+               for fault in result["faults"]], ("s", "", "fault", "on", "to")),
+        table([(note["what"], {key: value for key, value in note.items() if key != "what"})
+               for note in result["notes"]], ("the rig says", "")) if result["notes"] else ""))
--- /dev/null
+++ b/moleworks/rig/runner.py
@@ -0,0 +1,75 @@
+"""One run from file to verdict: drive, judge, report."""
+
+from __future__ import annotations
+
+import gc
+import shlex
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from moleworks import config
+
+from . import judge, places, spec
+
+HELD, BROKEN = 0, 1
+
+
+def load(path: str, seed: int | None = None) -> tuple[spec.Experiment, places.Places]:
+    """An experiment and its places.  Raises ConfigError."""
+    experiment = config.load(path, spec.Experiment)
+    if seed is not None:
+        experiment.seed = seed
+    return experiment, places.check(experiment, path)
+
+
+def prepare(out: Path) -> None:
+    """The folder for a run's files.  Raises ConfigError where it can't be made."""
+    try:
+        out.mkdir(parents=True, exist_ok=True)
+        for name in ("result.json", "report.html", "history.jsonl"):
+            (out / name).unlink(missing_ok=True)   # nothing of an earlier run is taken for this one's
+    except OSError as error:
+        raise config.ConfigError([f"{out}: {error.strerror or error}"]) from None
+
+
+def virtual(experiment: spec.Experiment, world: places.Places, out: Path, make: Any = None) -> None:
+    """Play it in virtual time; `make` stands in for the decision module."""
+    from bridgesaddle import Balancer
+
+    from .virtual.fleet import Fleet
+    thresholds = gc.get_threshold()
+    gc.set_threshold(100_000, 50, 1000)   # nearly all that is made ends with its request, without cycles
+    try:
+        Fleet(experiment, world, out, make or Balancer).run()
+    finally:
+        gc.set_threshold(*thresholds)
+
+
+def conclude(experiment: spec.Experiment, out: Path, replay: str, report: bool = True,
+             notes: list[dict[str, Any]] | None = None) -> dict[str, Any]:
+    """Judge the history in `out` and write `result.json`, `report.html` and `seconds.csv` beside it."""
+    hold = msgspec.to_builtins(experiment.hold)
+    result, seconds = judge.judge(out / "history.jsonl", hold)
+    result = {"verdict": result["verdict"], "figures": result["figures"], "seed": experiment.seed,
+              "faults": result["faults"], "broken": result["broken"], "notes": result["notes"] + (notes or []),
+              "title": experiment.title, "driver": experiment.driver, "replay": replay}
+    (out / "result.json").write_bytes(msgspec.json.format(msgspec.json.encode(result), indent=2) + b"\n")
+    if report:
+        from .report import run_report
+        run_report(out, experiment.title, replay, result, seconds)
+    return result
+
+
+def run(path: str, out: Path, seed: int | None = None, report: bool = True) -> dict[str, Any]:
+    """Play a file and return its result."""
+    experiment, world = load(path, seed)
+    prepare(out)
+    replay = f"moleworks rig run {shlex.quote(path)} --seed {experiment.seed} --out {shlex.quote(str(out))}"
+    if experiment.driver == "virtual":
+        virtual(experiment, world, out)
+        return conclude(experiment, out, replay, report)
+    from .real.run import play
+    notes = play(experiment, world, out)
+    return conclude(experiment, out, replay, report, notes)
--- a/moleworks/rig/spec.py
+++ b/moleworks/rig/spec.py
@@ -194,8 +194,6 @@
     served: Share = 0.0                 # first tries served in the end, of all
     in_time: Share = 0.0                # first tries served within their aim, of all
     windows: Annotated[list[Window], Meta(max_length=100)] = []
-    lost: Annotated[int, Meta(ge=0)] = 0
-    toppled: Annotated[int, Meta(ge=0)] = 0
 
 
 class Experiment(Struct, forbid_unknown_fields=True):
