--- a/moleworks/cli/rig.py
+++ b/moleworks/cli/rig.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
+import json
+import os
 import sys
+import tempfile
 from pathlib import Path
+from typing import Any
 
 import click
 
-SEED = click.option("--seed", type=click.IntRange(0, (1 << 62) - 1), default=None,
-                    help="In place of the file's own.")
+OUT = click.option("--out", required=True, type=click.Path(path_type=Path, file_okay=False),
+                   help="Folder for what it leaves.")
+SEED = click.option("--seed", type=click.IntRange(0, (1 << 62) - 1), default=None, help="In place of the file's own.")
+SEEDS = click.option("--seeds", default="1-20", show_default=True, help="Such as 7, 1-100 or 1,4,9.")
+SETS = click.option("--set", "sets", multiple=True, metavar="PATH=V,V", help="A place in the file and its values.")
+JOBS = click.option("--jobs", type=click.IntRange(1, 256), default=None, help="Runs at once; as many as cores.")
 
 
 @click.group()
@@ -18,8 +26,7 @@
 
 @group.command()
 @click.argument("file")
-@click.option("--out", required=True, type=click.Path(path_type=Path, file_okay=False),
-              help="Folder for what it leaves.")
+@OUT
 @SEED
 def run(file: str, out: Path, seed: int | None) -> int:
     """Play an experiment: exit 0 if what must hold held, 1 if not, 2 if the file is wrong."""
@@ -31,3 +38,137 @@
     for text in result["broken"][:10]:
         print(f"{file}: {text}", file=sys.stderr)
     return runner.HELD if result["verdict"] == "held" else runner.BROKEN
+
+
+def _workers(jobs: int | None, driver: str) -> int:
+    """As many as cores; one where real sockets must not disturb each other."""
+    return jobs or (1 if driver == "real" else len(os.sched_getaffinity(0)))
+
+
+@group.command()
+@click.argument("file")
+@OUT
+@SEEDS
+@SETS
+@JOBS
+def sweep(file: str, out: Path, seeds: str, sets: tuple[str, ...], jobs: int | None) -> int:
+    """Play many seeds and parameters on all cores; stopped, it goes on where it was.  Exit 1 if one broke."""
+    from moleworks.rig import report, runner
+    from moleworks.rig import sweep as sweeping
+    planned = sweeping.jobs(file, list(sets), sweeping.seeds_of(seeds))
+    experiment, _ = runner.load(file)
+    runner.prepare(out)
+    results = sweeping.Results(out / "results.sqlite")
+    counts: dict[str, int] = {}
+    for job, result in sweeping.run(planned, results, _workers(jobs, experiment.driver), out / "broken",
+                                    not sys.stderr.isatty()):
+        counts[result["verdict"]] = counts.get(result["verdict"], 0) + 1
+        if result["verdict"] != "held" and counts[result["verdict"]] <= 10:
+            click.echo(f"{file} seed {job.seed} {job.params}: {result['verdict']}: {'; '.join(result['broken'][:2])}")
+    report.table_report(out, f"Sweep of {experiment.title}", results.rows())
+    results.close()
+    click.echo(f"{file}: {len(planned)} runs: " + ", ".join(f"{count} {verdict}" for verdict, count in counts.items())
+               + f"; {out}/report.html")
+    return 0 if set(counts) <= {"held"} else 1
+
+
+@group.command()
+@click.argument("file")
+@OUT
+@SEEDS
+@SETS
+@JOBS
+@click.option("--versions", required=True, help="worktree, git revisions, or random, round_robin, least, two, "
+              "two_budget; by commas, the first is what the others are compared with.")
+def compare(file: str, out: Path, seeds: str, sets: tuple[str, ...], jobs: int | None, versions: str) -> int:
+    """Play versions and baselines on the same worlds and seeds; differences in pairs, with 95% intervals."""
+    from moleworks.rig import compare as comparing
+    from moleworks.rig import report, runner
+    from moleworks.rig import sweep as sweeping
+    planned = sweeping.jobs(file, list(sets), sweeping.seeds_of(seeds))
+    experiment, _ = runner.load(file)
+    runner.prepare(out)
+    results = sweeping.Results(out / "results.sqlite")
+    with comparing.checkouts(versions.split(","), experiment.driver == "real") as found:
+        played = list(sweeping.run(comparing.expand(planned, found), results, _workers(jobs, experiment.driver), None,
+                                   not sys.stderr.isatty()))
+        rows = comparing.table(played, [version for version, _, _ in found.values()])
+    results.close()
+    report.table_report(out, f"Versions on {experiment.title}", rows)
+    for row in rows:
+        difference = (f"  {row['difference']:+.4f} +- {row['half_width']:.4f}" if "difference" in row else "")
+        click.echo(f"{row['version']:24} in time {row['in_time']:.4f}  served {row['served']:.4f}  "
+                   f"p99 {row['p99_ms']:8.1f} ms  rules broken in {row['broken']} of {row['runs']}{difference}")
+    return 0
+
+
+@group.command("report")
+@click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
+def report_command(folder: Path) -> int:
+    """Write the report of a folder anew: a run's from its history, a sweep's from its table."""
+    from moleworks.rig import report
+    from moleworks.rig import sweep as sweeping
+    if (folder / "results.sqlite").exists():
+        results = sweeping.Results(folder / "results.sqlite")
+        report.table_report(folder, f"Runs of {folder.name}", results.rows())
+        results.close()
+    elif (folder / "history.jsonl").exists() and (folder / "result.json").exists():
+        from moleworks.rig import judge
+        old = json.loads((folder / "result.json").read_text())
+        result, seconds = judge.judge(folder / "history.jsonl", {})
+        report.run_report(folder, old["title"], old["replay"], {**old, "figures": result["figures"]}, seconds)
+    else:
+        print(f"{folder}: holds neither a run nor a sweep", file=sys.stderr)
+        return 2
+    click.echo(f"{folder}/report.html")
+    return 0
+
+
+@group.command()
+@click.argument("address")
+@click.option("--class", "cls", default="dinle", show_default=True, help="Class of the requests (read-like).")
+@click.option("--path", default="/clip?w=30000000", show_default=True, help="What follows the class.")
+@click.option("--rps", type=click.FloatRange(0, min_open=True), default=100.0, show_default=True)
+@click.option("--seconds", type=click.FloatRange(0, min_open=True), default=10.0, show_default=True)
+@click.option("--timeout-ms", type=click.IntRange(1, 600_000), default=800, show_default=True)
+@click.option("--seed", type=int, default=1)
+def load(address: str, cls: str, path: str, rps: float, seconds: float, timeout_ms: int, seed: int) -> None:
+    """Open-loop load on a loopback ADDRESS (host:port); latencies count from the planned time."""
+    from moleworks.rig.real import load as loading
+    figures: dict[str, Any] = loading.run(address, cls, path, rps, seconds, timeout_ms, seed)
+    for name, value in figures.items():
+        click.echo(f"{name}={value:g}")
+
+
+@group.command()
+@click.argument("file", required=False)
+@click.option("--for", "seconds", type=click.FloatRange(0, min_open=True), default=None, help="Seconds; until Ctrl-C.")
+@click.option("--gateways", type=click.IntRange(1, 100), default=None)
+@click.option("--hosts", type=click.IntRange(1, 500), default=None)
+@click.option("--rps", type=click.FloatRange(0, min_open=True), default=None)
+@click.option("--logs", type=click.Path(path_type=Path, file_okay=False), default=None, help="Keep the logs here.")
+def up(file: str | None, seconds: float | None, gateways: int | None, hosts: int | None, rps: float | None,
+       logs: Path | None) -> int:
+    """Start a fleet and watch it live: 3 gateways, 12 hosts and their clients, or those of an experiment."""
+    from moleworks.rig import places, runner, spec
+    from moleworks.rig.real import procs
+    from moleworks.rig.real import up as showing
+    if file is not None:
+        experiment, _ = runner.load(file)
+        experiment.driver = "real"
+    else:
+        experiment = spec.Experiment("A fleet", "real", load=spec.Load(rps=150))
+    experiment.duration_s = seconds or (86400.0 if file is None else experiment.duration_s)
+    experiment.world.gateways.count = gateways or experiment.world.gateways.count
+    experiment.world.hosts = [spec.Hosts(count=hosts)] if hosts else experiment.world.hosts
+    experiment.load.rps = rps or experiment.load.rps
+    world = places.check(experiment, file or "up")
+    with tempfile.TemporaryDirectory(prefix="moleworks-up-") as folder:
+        out = logs or Path(folder)
+        runner.prepare(out)
+        try:
+            showing.up(experiment, world, out)
+        except procs.Trouble as error:
+            print(f"moleworks: {error}", file=sys.stderr)
+            return 1
+    return 0
--- a/moleworks/rig/real/clients.py
+++ b/moleworks/rig/real/clients.py
@@ -6,7 +6,7 @@
 import random
 import time
 from collections.abc import Iterator
-from typing import Any, cast
+from typing import Any, Protocol, cast
 
 import httptools
 import msgspec
@@ -25,10 +25,20 @@
 """Idle connections kept to a gateway."""
 
 
+class Owner(Protocol):
+    """Who has a connection: it hears of what becomes of it and of the try that it holds."""
+
+    def give_back(self, connection: _Connection) -> None: ...
+    def lost(self, connection: _Connection) -> None: ...
+    def crossed(self, held: _Try) -> None: ...
+    def answered(self, held: _Try, status: int, body: bytes, retry_after: float) -> None: ...
+    def seen(self, held: _Try, how: str, token: int, retry_after: float) -> None: ...
+
+
 class _Connection(asyncio.Protocol):
     """A client's connection to one gateway: one request at a time."""
 
-    def __init__(self, part: ClientsPart, gateway: str) -> None:
+    def __init__(self, part: Owner, gateway: str) -> None:
         self._part = part
         self.gateway = gateway
         self.transport: asyncio.Transport | None = None
@@ -265,10 +275,12 @@
 
     def _send(self, held: _Try, connection: _Connection) -> None:
         held.connection = connection
+        first = not held.since
+        if first:
+            self._note(held)   # before it is written: a host may have it before this process runs on
         connection.send(held)
-        if held.since:
+        if not first:
             return
-        self._note(held)
         held.timer = self._loop.call_later(held.ttl / 1e9 + GRACE_S, self._impatient, held, "none")
         if held.ask.leaves_ns:
             self._loop.call_later(held.ask.leaves_ns / 1e9, self._impatient, held, "left")
--- a/moleworks/rig/real/fleet.py
+++ b/moleworks/rig/real/fleet.py
@@ -111,10 +111,11 @@
         experiment, places, world = self.experiment, self.places, self.experiment.world
         self.record(world_line(experiment, places, "real"))
         deploy = tomllib.loads((self.root / "deploy/balancer.toml").read_text())
-        done = await asyncio.to_thread(subprocess.run, ["/bin/sh", "-c", deploy["build"]], cwd=self.root,
-                                       capture_output=True, text=True, check=False)
-        if done.returncode:
-            raise Trouble(f"the build line failed: {done.stderr.strip()[-300:]}")
+        if self.root == ROOT:   # another revision's folder has what it runs on already
+            done = await asyncio.to_thread(subprocess.run, ["/bin/sh", "-c", deploy["build"]], cwd=self.root,
+                                           capture_output=True, text=True, check=False)
+            if done.returncode:
+                raise Trouble(f"the build line failed: {done.stderr.strip()[-300:]}")
         links = self._addresses()
         part = self._folder / "hosts"
         names = list(places.hosts)
--- a/moleworks/rig/report.py
+++ b/moleworks/rig/report.py
@@ -6,6 +6,7 @@
 import csv
 import html
 import io
+import json
 from collections import Counter
 from collections.abc import Iterable
 from pathlib import Path
@@ -65,6 +66,36 @@
     return spans + [(fault["t"] / 1e9, end, f"{fault['kind']} {fault['on']}") for fault in open_.values()]
 
 
+def table_report(out: Path, title: str, rows: list[dict[str, Any]]) -> None:
+    """`report.html`, `table.csv` and `table.json` of many runs: figures against what was varied, or bars."""
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    write_csv(out / "table.csv", rows, columns)
+    (out / "table.json").write_text(json.dumps(rows, indent=1) + "\n")
+    plots = []
+    numbers = [name for name in columns if rows and all(isinstance(row.get(name), int | float) for row in rows)]
+    varied = [name for name in columns[:columns.index("seed")] if name in numbers
+              and len({row[name] for row in rows}) > 1] if "seed" in columns else []
+    for name in varied:
+        figure, axes = pyplot.subplots(figsize=(9, 3.2))
+        for what in ("in_time", "served"):
+            axes.plot([row[name] for row in rows], [row[what] for row in rows], ".", label=what, alpha=0.6)
+        axes.set_xlabel(name)
+        axes.legend()
+        plots.append(picture(figure))
+    if not varied and "in_time" in numbers:
+        figure, axes = pyplot.subplots(figsize=(9, 3.2))
+        if "difference" in columns:
+            axes.bar([str(row["version"]) for row in rows], [row["in_time"] for row in rows],
+                     yerr=[row.get("half_width", 0.0) for row in rows])
+        else:
+            axes.hist([row["in_time"] for row in rows], bins=30)
+            axes.set_xlabel("in_time")
+        plots.append(picture(figure))
+    body = table([tuple(row.get(name, "") for name in columns) for row in rows[:2000]], tuple(columns))
+    (out / "report.html").write_text(page(title, f"<p>{len(rows)} rows; all of them in <code>table.csv</code></p>",
+                                          *plots, body))
+
+
 def run_report(out: Path, title: str, replay: str, result: dict[str, Any],
                seconds: dict[int, Counter[str]]) -> None:
     """`report.html` and `seconds.csv` of one run."""
