--- a/moleworks/cli/rig.py
+++ b/moleworks/cli/rig.py
@@ -33,8 +33,9 @@
     from moleworks.rig import runner
     result = runner.run(file, out, seed)
     figures = result["figures"]
-    click.echo(f"{file}: {result['verdict']}: {figures['asked']} asked, {figures['served']:.4f} served, "
-               f"{figures['in_time']:.4f} in time, p99 {figures['p99_ms']:g} ms; {out}/report.html")
+    if figures:
+        click.echo(f"{file}: {result['verdict']}: {figures['asked']} asked, {figures['served']:.4f} served, "
+                   f"{figures['in_time']:.4f} in time, p99 {figures['p99_ms']:g} ms; {out}/report.html")
     for text in result["broken"][:10]:
         print(f"{file}: {text}", file=sys.stderr)
     return runner.HELD if result["verdict"] == "held" else runner.BROKEN
--- a/moleworks/rig/judge.py
+++ b/moleworks/rig/judge.py
@@ -27,6 +27,9 @@
 """An answer that comes no more than this after its client's time is late, not lost."""
 KEEP = 5_000_000_000
 """A request is judged so long after its last possible answer."""
+SPOILS = {"late": "the rig itself fell behind", "interrupted": "it was ended before its time",
+          "trouble": "the rig could not do what the file asks", "ended": "a gateway ended by itself"}
+"""Notes of the rig after which nothing can be said to have held."""
 MOST_SHUT = 100_000
 """Closed connections that are remembered: what was on its way on one comes soon after."""
 MOST_TOLD = 20
@@ -319,6 +322,8 @@
         """Figures and what was broken; `hold` is the experiment's table of that name, as plain values."""
         while self._order:
             self._judge(self._order.popleft())
+        if not self._world:
+            return {"verdict": "broken", "broken": ["history: is empty"], "figures": {}, "faults": [], "notes": []}
         figures = self._figures()
         broken = list(self.told)
         for rule, count in self.broken.items():
@@ -337,8 +342,8 @@
         if not figures["asked"]:
             broken.append("hold: no request was asked after the warm-up: nothing is shown")
         for note in self.notes:
-            if note["what"] == "late":
-                broken.append("late: the rig itself fell behind, this run does not count")
+            if note["what"] in SPOILS:
+                broken.append(f"{note['what']}: {SPOILS[note['what']]}, this run does not count")
         return {"verdict": "broken" if broken else "held", "broken": broken, "figures": figures,
                 "faults": self.faults, "notes": [{"what": note["what"], **note.get("figures", {})}
                                                  for note in self.notes]}
--- a/moleworks/rig/real/child.py
+++ b/moleworks/rig/real/child.py
@@ -21,6 +21,7 @@
 from .. import history
 
 MAX_LINE = 64 << 20
+FLUSH_S = 0.5
 
 
 class Part(Protocol):
@@ -77,11 +78,19 @@
     sys.stdout.buffer.flush()
 
 
+async def _flush(writer: history.Writer) -> None:
+    """What was seen is in the file soon, should this process be killed."""
+    while True:
+        await asyncio.sleep(FLUSH_S)
+        writer.flush()
+
+
 async def _run(part: Part, clock: Clock, writer: history.Writer) -> None:
     loop = asyncio.get_running_loop()
     reader = asyncio.StreamReader(limit=MAX_LINE)
     await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     report("ready", **await part.start())
+    flushing = loop.create_task(_flush(writer))
     while line := await reader.readline():
         told = msgspec.json.decode(line)
         if told["do"] == "go":
@@ -91,6 +100,7 @@
             break
         part.command(told["do"], told)
     figures = part.finish()
+    flushing.cancel()
     writer.close()
     report("finished", figures=figures)
 
--- a/moleworks/rig/real/fleet.py
+++ b/moleworks/rig/real/fleet.py
@@ -19,7 +19,7 @@
 from moleworks import logs
 
 from .. import history, settings
-from ..listing import Listing, line
+from ..listing import GONE, Listing, line
 from ..places import CLIENTS, DISCOVERY, Places
 from ..spec import Experiment
 from ..world import world_line
@@ -127,7 +127,7 @@
                 f"hosts{number}", "moleworks.rig.real.hosts",
                 {"part": f"{part}{number}.part", "hosts": hosts, "seed": experiment.seed,
                  "first_key": (number + 1) * KEYS_EACH, "fall_multiple": world.fall_multiple,
-                 "fall_ns": int(world.fall_ms * 1e6)}, self._folder))
+                 "fall_ns": int(world.fall_ms * 1e6)}, self._folder, self._host_says))
         self.links = await Child.start(
             "links", "moleworks.rig.real.link",
             {"part": str(self._folder / "links.part"), "links": links, "seed": experiment.seed}, self._folder)
@@ -145,6 +145,13 @@
             {"part": str(self._folder / "clients.part"), "experiment": msgspec.to_builtins(experiment),
              "gateways": self.front, "tell": self._counts is not None}, self._folder, self._counts or (lambda _: None))
 
+    def _host_says(self, told: dict[str, Any]) -> None:
+        """A host has fallen over: its process is gone for good, and the list learns so late."""
+        name = told["host"]
+        self.refuse(name, True)
+        asyncio.get_running_loop().call_later(self.experiment.world.discovery.notice_ms / 1000,
+                                              self.discovery.change, name, GONE)
+
     def _delays(self) -> None:
         """The network's calm delays, set on the links as faults that never end."""
         network = self.experiment.world.network
--- a/moleworks/rig/real/hosts.py
+++ b/moleworks/rig/real/hosts.py
@@ -13,7 +13,7 @@
 from .. import history
 from ..host import Host
 from ..spec import Hosts
-from .child import Clock, Lateness, main
+from .child import Clock, Lateness, main, report
 
 FAR = 1 << 62
 
@@ -131,6 +131,7 @@
         taken = len(self.connections) <= self._most and self.model.offer(now, key, work)
         if self.model.toppled:
             self.down(now, "topple")
+            report("topple", host=self.name)
             self._part.record(history.End(now, self.name, key, "died"))
             return
         if not taken:
--- a/moleworks/rig/runner.py
+++ b/moleworks/rig/runner.py
@@ -48,10 +48,15 @@
 
 
 def conclude(experiment: spec.Experiment, out: Path, replay: str, report: bool = True,
-             notes: list[dict[str, Any]] | None = None) -> dict[str, Any]:
-    """Judge the history in `out` and write `result.json`, `report.html` and `seconds.csv` beside it."""
+             notes: list[dict[str, Any]] | None = None, trouble: str = "") -> dict[str, Any]:
+    """Judge the history in `out` and write `result.json`, `report.html` and `seconds.csv` beside it.
+
+    `trouble` is what kept the run from being one: then it is broken, whatever the history holds.
+    """
     hold = msgspec.to_builtins(experiment.hold)
     result, seconds = judge.judge(out / "history.jsonl", hold)
+    if trouble:
+        result["verdict"], result["broken"] = "broken", [trouble]
     result = {"verdict": result["verdict"], "figures": result["figures"], "seed": experiment.seed,
               "faults": result["faults"], "broken": result["broken"], "notes": result["notes"] + (notes or []),
               "title": experiment.title, "driver": experiment.driver, "replay": replay}
@@ -70,6 +75,11 @@
     if experiment.driver == "virtual":
         virtual(experiment, world, out)
         return conclude(experiment, out, replay, report)
+    from .real.procs import Trouble
     from .real.run import play
-    notes = play(experiment, world, out)
+    try:
+        notes = play(experiment, world, out)
+    except Trouble as error:
+        (out / "history.jsonl").touch()
+        return conclude(experiment, out, replay, report, trouble=f"trouble: {error}")
     return conclude(experiment, out, replay, report, notes)
--- a/moleworks/rig/sweep.py
+++ b/moleworks/rig/sweep.py
@@ -152,8 +152,9 @@
         told = json.dumps({"experiment": json.loads(job.raw), "file": job.file, "out": folder, "policy": job.policy,
                            "root": job.path, "replay": replay})
         path = os.pathsep.join(filter(None, [job.path, str(ROOT)]))
-        process = subprocess.Popen([sys.executable, "-B", "-m", "moleworks.rig.worker", told], stdout=subprocess.PIPE,
-                                   stderr=subprocess.PIPE, text=True, env={**os.environ, "PYTHONPATH": path}, cwd=folder)
+        process = subprocess.Popen(
+            [sys.executable, "-B", "-m", "moleworks.rig.worker", told], stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE, text=True, env={**os.environ, "PYTHONPATH": path}, cwd=folder)
         try:
             out, err = process.communicate(timeout=RUN_S)
         except subprocess.TimeoutExpired:
--- a/moleworks/rig/virtual/faults.py
+++ b/moleworks/rig/virtual/faults.py
@@ -80,6 +80,10 @@
         if host.model.up:
             self._listed(host, READY, "add_ms", self._fleet.loop.now)
 
+    def toppled(self, host: VirtualHost) -> None:
+        """A host has fallen over: its process is gone for good, and the list learns so like of any other."""
+        self._listed(host, GONE, "notice_ms")
+
     def _drained(self, host: VirtualHost, life: int) -> None:
         """The process ends in order."""
         if host.model.up and self._lives.get(host.name, 0) == life:
--- a/moleworks/rig/virtual/hosts.py
+++ b/moleworks/rig/virtual/hosts.py
@@ -89,6 +89,7 @@
         taken = self.model.offer(now, key, work)
         if self.model.toppled:
             self.down("topple")
+            fleet.faults.toppled(self)
             if request is not None:
                 fleet.record(history.End(now, self.name, key, "died"))
             self.break_off(gateway, attempt, False)
