--- a/moleworks/rig/judge.py
+++ b/moleworks/rig/judge.py
@@ -30,6 +30,8 @@
 SPOILS = {"late": "the rig itself fell behind", "interrupted": "it was ended before its time",
           "trouble": "the rig could not do what the file asks", "ended": "a gateway ended by itself"}
 """Notes of the rig after which nothing can be said to have held."""
+MOST_JUDGED = 1_000_000
+"""Judged requests whose ids are remembered: a link that was cut may bring one to its host long afterwards."""
 MOST_SHUT = 100_000
 """Closed connections that are remembered: what was on its way on one comes soon after."""
 MOST_TOLD = 20
@@ -78,6 +80,8 @@
         self._world: dict[str, Any] = {}
         self._requests: dict[int, _Request] = {}
         self._order: deque[_Request] = deque()
+        self._judged: dict[int, None] = {}
+        self._figure_late = 0
         self._arrivals: dict[int, _Arrival] = {}
         self._on_connection: dict[int, list[_Arrival]] = {}
         self._sent: dict[tuple[int, int], int] = {}
@@ -158,7 +162,11 @@
         self.hosts[line["h"]] += 1
         request = self._requests.get(line["r"])
         if request is None:
-            self._break("2 repeats", f"{line['h']} got request {line['r']}, which no client sent")
+            if line["r"] not in self._judged:
+                self._break("2 repeats", f"{line['h']} got request {line['r']}, which no client sent")
+            elif sent < 0 and not line.get("c"):
+                self._break("2 repeats", f"{line['h']} got request {line['r']} long after its end")
+            self._figure_late += 1
             return
         request.arrivals.append(arrival)
         if self._zones[line["h"]][0] != self._gateway_zone[line["g"]]:
@@ -243,6 +251,9 @@
 
     def _judge(self, request: _Request) -> None:
         self._requests.pop(request.rid, None)
+        self._judged[request.rid] = None
+        if len(self._judged) > MOST_JUDGED:
+            del self._judged[next(iter(self._judged))]
         cls = self._world["classes"][request.cls]
         served = [arrival for arrival in request.arrivals if arrival.how == "served"]
         if not request.how or request.how in ("none", "cut"):
@@ -357,7 +368,8 @@
             "served": round(sum(books[1] for books in self._classes.values()) / total, 5),
             "in_time": round(sum(books[2] for books in self._classes.values()) / total, 5),
             "worth": round(sum(books[3] for books in self._classes.values()) / worth, 5) if worth else 0.0,
-            "tries": sum(self._hows.values()), "attempts": self._attempts, "crossings": self._crossings}
+            "tries": sum(self._hows.values()), "attempts": self._attempts,
+            "held_past_judgement": self._figure_late, "crossings": self._crossings}
         for how in ("refused", "failed", "cut", "none", "unreachable", "left", "excused"):
             figures[how] = self._hows[how]
         for rule, count in sorted(self.broken.items()):
