--- a/moleworks/rig/places.py
+++ b/moleworks/rig/places.py
@@ -9,6 +9,7 @@
 import fnmatch
 import random
 
+import msgspec
 from msgspec import Struct
 
 from moleworks.config import ConfigError
@@ -161,8 +162,7 @@
             wanted = _wanted(places, fault.kind)
             names = [name for name in places.select(fault.on) if wanted is None or name in wanted]
             picked = rng.sample(names, min(fault.most, len(names)))
-            faults += [Fault(fault.kind, fault.at_s, fault.for_s, name, fault.to, fault.one_way, fault.size)
-                       for name in picked]
+            faults += [msgspec.structs.replace(fault, on=name, most=0) for name in picked]
         else:
             faults.append(fault)
     for draw in experiment.draws:
--- a/moleworks/rig/real/faults.py
+++ b/moleworks/rig/real/faults.py
@@ -153,7 +153,7 @@
                 process.signal(signal.SIGKILL)
                 await process.wait()
             elif not begins and process.over:
-                await self._anew(name)
+                await self._anew(name, fault.folder)
         elif fault.kind == "term":
             if begins and not process.over:
                 self._say(name, "drain")
@@ -162,7 +162,7 @@
                 fleet.refuse(name, True)
             elif not begins:
                 await process.wait()
-                await self._anew(name)
+                await self._anew(name, fault.folder)
         elif fault.kind == "stop":
             if begins:
                 self._say(name, "stop")
@@ -177,9 +177,11 @@
             gateway.write()
             process.signal(signal.SIGHUP)
 
-    async def _anew(self, name: str) -> None:
+    async def _anew(self, name: str, folder: str) -> None:
         fleet = self._fleet
         gateway = fleet.gateways[name]
+        if folder == "lost":
+            gateway.lose_folder()
         await gateway.start(fleet.known(name))
         await gateway.ready()
         self._say(name, "up")
--- a/moleworks/rig/real/fleet.py
+++ b/moleworks/rig/real/fleet.py
@@ -85,6 +85,32 @@
         self.link_numbers[source, name] = number
         return where
 
+    def _peer_links(self, links: list[dict[str, Any]]) -> None:
+        """Datagram links between every two gateways, and for each an address that reaches all others."""
+        if not self.experiment.world.gateways.peers:
+            return
+        names = list(self.places.gateways)
+        self._peer_at = {name: self._block.at(5, 10_000 + index) for index, name in enumerate(names)}
+        addresses: dict[tuple[str, str], tuple[str, int]] = {}
+        for index, one in enumerate(names):
+            for other in names[index + 1:]:
+                number = len(links)
+                port = 10_000 + len(addresses) // 2
+                addresses[one, other], addresses[other, one] = self._block.at(6, port), self._block.at(7, port)
+                links.append({"source": one, "name": other, "listen": addresses[one, other],
+                              "far": addresses[other, one],
+                              "near_target": self._peer_at[one], "target": self._peer_at[other]})
+                self.link_numbers[one, other] = number
+        for index, name in enumerate(names):
+            self._hubs.append({"listen": self._block.at(8, 10_000 + index), "ways": [
+                (self.link_numbers.get((name, other), self.link_numbers.get((other, name), -1)),
+                 int((other, name) in self.link_numbers)) for other in names if other != name]})
+            # A gateway's own place in the list is its own address: peers go by their numbers.
+            self._peers[name] = {"peer_listen": "{}:{}".format(*self._peer_at[name]),
+                                 "peers_all": "{}:{}".format(*self._hubs[index]["listen"]),
+                                 "peers": ["{}:{}".format(*(self._peer_at[name] if other == name
+                                                            else addresses[name, other])) for other in names]}
+
     def _addresses(self) -> list[dict[str, Any]]:
         """Where everybody listens, and the links between."""
         places = self.places
@@ -96,6 +122,9 @@
                       for name, where in self._gateway_at.items()}
         self._to_discovery = {name: self._link(links, name, DISCOVERY, self._discovery_at, True)
                               for name in places.gateways}
+        self._hubs: list[dict[str, Any]] = []
+        self._peers: dict[str, dict[str, Any]] = {}
+        self._peer_links(links)
         self._describe: dict[str, dict[str, dict[str, Any]]] = {}
         for name in places.gateways:
             self._describe[name] = rows = {}
@@ -130,7 +159,8 @@
                  "fall_ns": int(world.fall_ms * 1e6)}, self._folder, self._host_says))
         self.links = await Child.start(
             "links", "moleworks.rig.real.link",
-            {"part": str(self._folder / "links.part"), "links": links, "seed": experiment.seed}, self._folder)
+            {"part": str(self._folder / "links.part"), "links": links, "hubs": self._hubs, "seed": experiment.seed},
+            self._folder)
         if world.network.real_delays:
             self._delays()
         listed = [name for name, place in places.hosts.items() if place.spec.listed]
@@ -166,7 +196,7 @@
             "name": name, "listen": "{}:{}".format(*self._gateway_at[name]),
             "discovery": "{}:{}".format(*self._to_discovery[name]), "seed": f"{self.experiment.seed + number:08x}",
             "limits": {"cores": 1.0, "memory_mb": gateways.memory_mb, "sockets": gateways.sockets},
-            "settings": settings.settings(self.experiment, self.places, number)}
+            "settings": settings.settings(self.experiment, self.places, number)} | self._peers.get(name, {})
         return RealGateway(name, command, self.root, self._folder / name, config, self.logs / f"{name}.log",
                            [self._block.at(3, 20_000 + 2 * number), self._block.at(3, 20_001 + 2 * number)])
 
--- a/moleworks/rig/real/link.py
+++ b/moleworks/rig/real/link.py
@@ -371,40 +371,34 @@
 
 
 class UdpLink:
-    """Datagrams from one name to another: cut or lost is gone; copies, delays and changes of order happen.
+    """Datagrams between two names: cut or lost is gone; copies, delays and changes of order happen.
 
-    It is seen by its target under an address of its own, and what comes back to that goes to who sent last.
+    Each end has an address of its own here, `near` and `far`: what it sends there reaches the other one, and comes
+    from the address by which that one answers.  `targets` are where the two ends listen.
     """
 
-    def __init__(self, listen: tuple[str, int], target: tuple[str, int], rng: random.Random) -> None:
-        self._listen, self._target, self._rng = listen, target, rng
-        self.cut = 0
-        self.back_cut = 0
+    def __init__(self, near: tuple[str, int], far: tuple[str, int], targets: tuple[tuple[str, int], tuple[str, int]],
+                 rng: random.Random) -> None:
+        self._at, self._targets, self._rng = (near, far), targets, rng
+        self.cut = [0, 0]             # faults that cut the way from near to far, and back
         self.loss = self.duplicate = self.reorder = self.rate = 0.0
         self.delay_s = 0.0
         self._free_at = 0.0
-        self._last: Any = None
+        self._sockets: list[asyncio.DatagramTransport] = []
         self.dropped = 0
 
-    async def start(self) -> tuple[str, int]:
-        """Take datagrams; returns its address."""
+    async def start(self) -> list[tuple[str, int]]:
+        """Take datagrams; returns both addresses."""
         self._loop = asyncio.get_running_loop()
-        self._near, _ = await self._loop.create_datagram_endpoint(lambda: _Datagrams(self._forth), self._listen)
-        self._far, _ = await self._loop.create_datagram_endpoint(lambda: _Datagrams(self._back),
-                                                                 (self._listen[0], 0))
-        address: tuple[str, int] = self._near.get_extra_info("sockname")
-        return address
-
-    def _forth(self, data: bytes, addr: Any) -> None:
-        self._last = addr
-        self._pass(data, self._far, self._target, bool(self.cut))
-
-    def _back(self, data: bytes, _addr: Any) -> None:
-        if self._last is not None:
-            self._pass(data, self._near, self._last, bool(self.back_cut))
-
-    def _pass(self, data: bytes, transport: asyncio.DatagramTransport, target: Any, cut: bool) -> None:
-        if cut or self._rng.random() < self.loss:
+        for side, where in enumerate(self._at):
+            transport, _ = await self._loop.create_datagram_endpoint(
+                lambda side=side: _Datagrams(lambda data, _: self.forward(data, side)), where)  # type: ignore[misc]
+            self._sockets.append(transport)
+        return [transport.get_extra_info("sockname") for transport in self._sockets]
+
+    def forward(self, data: bytes, side: int) -> None:
+        """A datagram from the near end (0) or the far one (1)."""
+        if self.cut[side] or self._rng.random() < self.loss:
             self.dropped += 1
             return
         delay = self.delay_s
@@ -416,19 +410,31 @@
             delay += self._rng.uniform(0.001, 0.02) + self.delay_s
         for _ in range(2 if self._rng.random() < self.duplicate else 1):
             if delay:
-                self._loop.call_later(delay, self._send, transport, data, target)
+                self._loop.call_later(delay, self._send, data, 1 - side)
             else:
-                transport.sendto(data, target)
+                self._send(data, 1 - side)
 
-    @staticmethod
-    def _send(transport: asyncio.DatagramTransport, data: bytes, target: Any) -> None:
-        if not transport.is_closing():
-            transport.sendto(data, target)
+    def _send(self, data: bytes, to: int) -> None:
+        if not self._sockets[to].is_closing():
+            self._sockets[to].sendto(data, self._targets[to])
+
+    def fault(self, kind: str, begins: bool, size: float, forth: bool, back: bool) -> None:
+        """A fault begins or ends; all but a cut are on both ways."""
+        if kind == "cut":
+            self.cut[0] += (1 if begins else -1) * forth
+            self.cut[1] += (1 if begins else -1) * back
+        elif kind == "delay":
+            self.delay_s = max(0.0, self.delay_s + (size if begins else -size) / 1000)
+        elif kind in ("loss", "duplicate", "reorder", "rate"):
+            setattr(self, kind, size if begins else 0.0)
+
+    def refuse(self, active: bool) -> None:
+        """Where nobody listens a datagram is gone anyway."""
 
     def close(self) -> None:
         """The link is over."""
-        self._near.close()
-        self._far.close()
+        for transport in self._sockets:
+            transport.close()
 
 
 class Links:
@@ -437,7 +443,10 @@
     def __init__(self, told: dict[str, Any], clock: Clock, writer: history.Writer) -> None:
         rng = random.Random(told["seed"])
         self._count = 0
-        self.links = [Link(item, clock, writer.add, rng, self._number) for item in told["links"]]
+        self.links: list[Link | UdpLink] = [
+            UdpLink(tuple(item["listen"]), tuple(item["far"]), (tuple(item["near_target"]), tuple(item["target"])), rng)
+            if item.get("far") else Link(item, clock, writer.add, rng, self._number) for item in told["links"]]
+        self._hubs: list[dict[str, Any]] = told["hubs"]
 
     def _number(self) -> int:
         self._count += 1
@@ -446,9 +455,22 @@
     async def start(self) -> dict[str, Any]:
         """Take connections on every link."""
         for link in self.links:
-            link.listen()
+            if isinstance(link, Link):
+                link.listen()
+            else:
+                await link.start()
+        for hub in self._hubs:
+            await self._hub(tuple(hub["listen"]), [(self.links[number], side) for number, side in hub["ways"]])
         return {}
 
+    @staticmethod
+    async def _hub(where: tuple[str, int], ways: list[tuple[Any, int]]) -> None:
+        """An address by which a gateway reaches all others."""
+        def fan_out(data: bytes, _: Any) -> None:
+            for link, side in ways:
+                link.forward(data, side)
+        await asyncio.get_running_loop().create_datagram_endpoint(lambda: _Datagrams(fan_out), where)
+
     def command(self, name: str, told: dict[str, Any]) -> None:
         """`fault` and `refuse` name links by their places in the configuration."""
         for index in told.get("links", ()):
@@ -457,7 +479,7 @@
                 link.fault(told["kind"], told["begins"], told["size"], told["forth"], told["back"])
             elif name == "refuse":
                 link.refuse(told["active"])
-            elif name == "meddle":
+            elif name == "meddle" and isinstance(link, Link):
                 to = tuple(told["to"]) if told["to"] else None
                 if told["kind"] == "misroute":
                     link.target = to or link.home
--- a/moleworks/rig/spec.py
+++ b/moleworks/rig/spec.py
@@ -163,6 +163,7 @@
     one_way: bool = False               # links: only from `on` to `to`
     size: NotNegative = 0.0             # slow: times; errors, loss, duplicate, reorder, swallow: share;
                                         # delay, pause: ms; rate: bytes a second
+    folder: Literal["kept", "lost"] = "kept"   # kill, term: what a gateway finds of its temporary folder again
     most: Annotated[int, Meta(ge=0, le=10000)] = 0   # only so many of what `on` names, by the seed; 0: all
 
 
--- a/moleworks/rig/sweep.py
+++ b/moleworks/rig/sweep.py
@@ -28,6 +28,8 @@
 from . import places, spec
 
 ROOT = Path(__file__).resolve().parents[2]
+ONE_THREAD = {"OPENBLAS_NUM_THREADS": "1", "OMP_NUM_THREADS": "1"}
+"""A run is one thread: numpy's own would only spin beside it."""
 MOST_RUNS = 1_000_000
 RUN_S = 1800.0
 """A run that takes longer is ended and counts as an error."""
@@ -154,7 +156,7 @@
         path = os.pathsep.join(filter(None, [job.path, str(ROOT)]))
         process = subprocess.Popen(
             [sys.executable, "-B", "-m", "moleworks.rig.worker", told], stdout=subprocess.PIPE,
-            stderr=subprocess.PIPE, text=True, env={**os.environ, "PYTHONPATH": path}, cwd=folder)
+            stderr=subprocess.PIPE, text=True, env={**os.environ, **ONE_THREAD, "PYTHONPATH": path}, cwd=folder)
         try:
             out, err = process.communicate(timeout=RUN_S)
         except subprocess.TimeoutExpired:
--- a/tests/test_rig_links.py
+++ b/tests/test_rig_links.py
@@ -247,9 +247,12 @@
     async def run() -> None:
         loop = asyncio.get_running_loop()
         transport, heard = await loop.create_datagram_endpoint(Heard, ("127.0.0.1", 0))
-        link = UdpLink(("127.0.0.1", 0), transport.get_extra_info("sockname"), random.Random(3))
-        where = await link.start()
-        sender, _ = await loop.create_datagram_endpoint(asyncio.DatagramProtocol, ("127.0.0.1", 0))
+        sender, answers = await loop.create_datagram_endpoint(Heard, ("127.0.0.1", 0))
+        link = UdpLink(("127.0.0.1", 0), ("127.0.0.1", 0), (sender.get_extra_info("sockname"),
+                                                          transport.get_extra_info("sockname")), random.Random(3))
+        where, back = await link.start()
+        transport.sendto(b"7", back)
+        await answers.until(1)
 
         async def send(numbers: range) -> None:
             for number in numbers:
@@ -275,7 +278,7 @@
         await send(range(100))
         await heard.until(100)
         assert sorted(heard.got) == list(range(100)) != heard.got
-        link.reorder, link.cut = 0.0, 1
+        link.reorder, link.cut = 0.0, [1, 0]
         dropped = link.dropped
         await send(range(5))
         while link.dropped < dropped + 5:
