--- a/moleworks/cli/rig.py
+++ b/moleworks/cli/rig.py
@@ -103,6 +103,37 @@
     return 0
 
 
+@group.command()
+@OUT
+@click.option("--seeds", default="0-9999", show_default=True, help="Such as 7, 0-9999 or 1,4,9.")
+@JOBS
+@click.option("--mutants", is_flag=True, help="Put known errors in instead, and look how soon each is found.")
+def histories(out: Path, seeds: str, jobs: int | None, mutants: bool) -> int:
+    """Play the store in virtual time under faults, one history a seed, and judge each.  Exit 1 if one broke."""
+    from moleworks.rig import report, runner
+    from moleworks.rig import sweep as sweeping
+    from moleworks.rig.virtual import histories as playing
+    numbers = sweeping.seeds_of(seeds)
+    runner.prepare(out)
+    if mutants:
+        rows = playing.hunt_all(len(numbers), numbers[0], jobs)
+        report.table_report(out, "Known errors put into the store", rows)
+        for row in rows:
+            click.echo(f"{row['mutant']:34} {row['histories'] or 'not found':>9}  {row['seen']}")
+        return 0 if all(row["histories"] for row in rows) else 1
+    verdicts, seconds = playing.play(numbers, jobs)
+    rows = [playing.row(verdict) for verdict in verdicts]
+    report.table_report(out, "Histories of the store", rows)
+    broken = [verdict for verdict in verdicts if verdict.broken]
+    for verdict in broken[:20]:
+        click.echo(f"seed {verdict.seed}: {'; '.join(verdict.broken[:3])}")
+    sums = {name: sum(row[name] for row in rows)
+            for name in ("operations", "elections", "moves", "grants", "undecided")}
+    click.echo(f"{len(rows)} histories in {seconds:.1f} s, {len(rows) / seconds:.0f} a second: {len(broken)} broken; "
+               + ", ".join(f"{value} {name}" for name, value in sums.items()))
+    return 1 if broken else 0
+
+
 @group.command("report")
 @click.argument("folder", type=click.Path(path_type=Path, exists=True, file_okay=False))
 def report_command(folder: Path) -> int:
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,160 @@
+"""The store's core by histories under faults, known errors that must be found, and cases that were once wrong."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+
+from moleworks.duties.held import Held
+from moleworks.rig.linear import Holding, Op, held_twice, linearizable
+from moleworks.rig.virtual import histories
+from moleworks.rig.virtual.mutants import MUTANTS
+from moleworks.store import state
+from moleworks.store.core import LEADER, Core
+from moleworks.store.log import Log, Snapshot
+from moleworks.store.messages import Append, Appended, Ask, Config, Entry
+from moleworks.store.state import Acquire, Change, Condition, Expire, Guard, Open, Put, Renew, State, encode
+
+THREE = Config(("a", "b", "c"))
+
+
+def core(name: str, *entries: Entry, term: int = 1, config: Config = THREE) -> Core:
+    return Core(name, Log(Snapshot(0, 0, config, b""), entries), term, "", random.Random(1), 0)
+
+
+def test_histories_under_faults_hold() -> None:
+    for seed in range(60):
+        verdict = histories.judge(seed)
+        assert verdict.broken == [] and verdict.undecided == 0, seed
+        assert verdict.acknowledged > 0
+
+
+@pytest.mark.parametrize("name", [
+    "vote without a look at the log", "half of the votes", "sessions not kept in snapshots",
+    "members changed two at once", "token not checked", "sent again, applied again", "token given again",
+    "lease counted from the answer", "lease let go early", "renewal not counted"])
+def test_a_known_error_is_found(name: str) -> None:
+    count, seen = histories.hunt(MUTANTS[name], 60)
+    assert count and seen
+
+
+def test_the_same_seed_is_the_same_history() -> None:
+    assert histories.judge(5) == histories.judge(5)
+
+
+def put(at: int, end: int | None, value: str, revision: int = 0) -> Op:
+    return Op(at, end, "put", value, True, revision)
+
+
+def get(at: int, end: int, value: str | None) -> Op:
+    return Op(at, end, "get", None, value)
+
+
+@pytest.mark.parametrize(("good", "ops"), [
+    (True, [put(0, 10, "x"), get(5, 6, None), get(7, 8, "x"), get(11, 12, "x")]),
+    (False, [put(0, 10, "x"), get(5, 6, "x"), get(7, 8, None)]),
+    (False, [put(0, 10, "x"), get(11, 12, None)]),
+    (True, [put(0, None, "x"), get(50, 60, None), get(70, 80, "x")]),
+    (False, [put(0, 5, "x", 2), put(6, 9, "y", 1)]),
+    (True, [put(0, 5, "x"), Op(6, 7, "cas", ("x", "y"), True), Op(6, 9, "cas", ("x", "z"), False), get(10, 11, "y")]),
+    (False, [put(0, 5, "x"), Op(6, 7, "cas", ("x", "y"), True), Op(6, 9, "cas", ("x", "z"), True)]),
+    (False, [put(0, 5, "x"), Op(6, 7, "cas", ("x", "y"), False), get(8, 9, "x")]),
+    (True, [put(0, 5, "x"), put(1, None, "q"), Op(6, 7, "cas", ("x", "y"), False), get(8, 9, "q")])])
+def test_the_checker_tells_good_histories_from_bad(good: bool, ops: list[Op]) -> None:
+    assert linearizable(ops) is good
+
+
+def test_two_holders_at_once_are_seen() -> None:
+    rows = [Holding("d", "a", 1, 0, 10), Holding("d", "b", 2, 10, 20)]
+    assert held_twice(rows) == []
+    assert held_twice([rows[0], Holding("d", "b", 2, 9, 20)]) != []
+    assert held_twice([rows[1], Holding("d", "a", 1, 30, 40)]) != []
+
+
+def test_a_leader_finds_where_a_follower_stands_though_terms_differ() -> None:
+    """A follower's answer pointed below what the leader knew to match, and was passed over for good."""
+    leader = core("a", Entry(1, 1), Entry(2, 1), *(Entry(index, 3) for index in range(3, 50)), term=3)
+    follower = core("b", Entry(1, 1), Entry(2, 1), Entry(3, 1), term=3)
+    for _ in range(60):
+        follower.on_message(1, "a", Append(3, 49, 3, (), 0, 1))
+        answer = next(message for _, message in follower.take().send if isinstance(message, Appended))
+        assert not answer.ok and answer.index == 3
+    leader.vote = "a"
+    leader.role = "candidate"
+    leader._saved = (3, "a")
+    leader._lead()
+    peer = leader._peers["b"]
+    peer.match, peer.next, peer.probing = 2, 50, False
+    leader.on_message(2, "b", Appended(3, False, 1, 1))
+    assert peer.probing and peer.next == 3
+
+
+def test_a_member_that_is_being_taken_out_still_stands_until_that_is_committed() -> None:
+    """Only it had the entry that took it out: the others would not vote for an older log, and it did not stand."""
+    member = core("a", Entry(1, 1), Entry(2, 1, b"", Config(("b",))))
+    member.tick(10**10)
+    assert [(to, message.pre) for to, message in member.take().send if isinstance(message, Ask)] == [("b", True)]
+    gone = core("a", Entry(1, 1), Entry(2, 1, b"", Config(("b",))))
+    gone.commit = 2
+    gone.tick(10**10)
+    assert gone.take().send == []
+
+
+def test_one_member_alone_leads_and_commits_only_what_is_on_disk() -> None:
+    member = core("a", config=Config(("a",)))
+    member.tick(10**10)
+    out = member.take()
+    assert out.write is not None and member.role != LEADER
+    member.written(10**10, out.write)
+    assert member.role == LEADER
+    index = member.propose(10**10, b"x")
+    out = member.take()
+    assert out.write is not None and out.apply == []
+    member.written(10**10, out.write)
+    assert member.take().apply[-1].index == index
+
+
+def done(machine: State, command: state.Command) -> state.Result:
+    return machine.apply(encode(command))[1]
+
+
+def test_a_change_is_whole_or_not_at_all_and_applied_once() -> None:
+    machine = State()
+    change = Change("c", 1, (Put("a", b"1"), Put("b", b"2")))
+    assert done(machine, change).why == "session"
+    done(machine, Open("c"))
+    assert done(machine, change).revision == 1
+    assert done(machine, change).revision == 1 and machine.revision == 1
+    refused = done(machine, Change("c", 2, (Put("a", b"3"),), (Condition("a", 1), Condition("z", 9))))
+    assert (refused.done, refused.why) == (False, "condition") and machine.records["a"].value == b"1"
+    again = State.restored(machine.image())
+    assert done(again, Change("c", 2, (Put("a", b"3"),))) == refused   # the session came with the snapshot
+    assert not machine.apply(b"\xc1 no command")[1].done
+    assert next(iter(machine.events(0, "b") or ())).value == b"2" and again.events(0, "") is None
+
+
+def test_tokens_only_grow_and_an_older_one_is_refused() -> None:
+    machine = State()
+    for name in ("a", "b"):
+        done(machine, Open(name))
+    first = done(machine, Acquire("a", 1, "lead", "a", 1000))
+    assert done(machine, Acquire("b", 1, "lead", "b", 1000)).why == "held"
+    renewed = done(machine, Renew("a", 2, "lead", first.token))
+    assert renewed.done and not done(machine, Expire("lead", first.token, 0)).done   # it was renewed since
+    assert done(machine, Expire("lead", first.token, 1)).done
+    second = done(machine, Acquire("b", 2, "lead", "b", 1000))
+    assert second.token == first.token + 1
+    late = done(machine, Change("a", 3, (Put("x", b"late"),), (), Guard("lead", first.token)))
+    assert (late.done, late.why, late.token) == (False, "token", second.token)
+    assert done(machine, Change("b", 3, (Put("x", b"y"),), (), Guard("lead", second.token))).done
+    handed = done(machine, Renew("b", 4, "lead", second.token, False, "a"))
+    assert handed.done and done(machine, Acquire("a", 4, "lead", "a", 1000)).token == second.token + 1
+
+
+def test_a_holder_has_stopped_before_the_granter_lets_go_by_any_clock() -> None:
+    from moleworks.store.grants import GRANTER
+    held = Held("d", 1, 1000, sent=0)
+    slowest = held.until / 0.99                     # real time at which a slow holder stops
+    fastest = 1000 * 1e6 * GRANTER / 1.01           # and at which a fast granter lets go, counted from later
+    assert slowest < fastest and held.holds(held.until - 1) and not held.holds(held.until)
