--- a/moleworks/cli/__init__.py
+++ b/moleworks/cli/__init__.py
@@ -9,6 +9,8 @@
 import click
 
 GROUPS = {"config": "Check, show and describe configuration files.",
+          "store": "Records with revisions, replicated over some members.",
+          "duty": "Duties that only one process holds at a time.",
           "rig": "Run a fleet with faults between its processes, and judge it."}
 
 
--- /dev/null
+++ b/moleworks/cli/common.py
@@ -0,0 +1,44 @@
+"""What the commands that talk to a store share."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import click
+
+from moleworks.config import ConfigError
+
+STORE = click.option("--store", envvar="MOLEWORKS_STORE", required=True, metavar="HOST:PORT,...",
+                     help="Members to ask, or $MOLEWORKS_STORE.")
+CLUSTER = click.option("--cluster", envvar="MOLEWORKS_CLUSTER", default="main", show_default=True,
+                       help="The cluster's name, or $MOLEWORKS_CLUSTER.")
+TIMEOUT = click.option("--timeout", type=click.FloatRange(0, min_open=True), default=10.0, show_default=True,
+                       help="Seconds for an answer.")
+
+
+def address(text: str, what: str) -> tuple[str, int]:
+    """HOST:PORT.  Raises ConfigError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not int(port) < 65536:
+        raise ConfigError([f"{what}: must be HOST:PORT, not {text!r}"])
+    return host, int(port)
+
+
+def ask(store: str, cluster: str, timeout: float, act: Callable[[Any], Coroutine[Any, Any, int]]) -> int:
+    """Run `act` with a client; exit 1 with one line where the store does not answer or won't."""
+    from moleworks.store.client import Client, Refused, Unavailable
+    addresses = [address(text, "--store") for text in store.split(",")]
+
+    async def main() -> int:
+        async with Client(addresses, cluster, timeout) as client:
+            return await act(client)
+    try:
+        return asyncio.run(main())
+    except (Refused, Unavailable) as error:
+        print(f"moleworks: {error}", file=sys.stderr)
+        return 1
+    except KeyboardInterrupt:
+        return 130
--- /dev/null
+++ b/moleworks/duties/holder.py
@@ -0,0 +1,119 @@
+"""Holding a duty: acquire it, renew it, and stop by one's own clock before it can pass on."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import time
+from collections.abc import Callable, Sequence
+
+from moleworks import logs
+from moleworks.store.client import Client, Unavailable
+
+from .held import Held
+
+log = logs.get("duty")
+
+RENEW = 3.0
+"""A lease is renewed so many times in its length."""
+STOP = 0.25
+"""The last part of a lease in which what runs under it must already end."""
+
+
+class Holder:
+    """One process that wants one duty."""
+
+    def __init__(self, client: Client, duty: str, name: str, ttl_ms: int) -> None:
+        self._client, self.duty, self.name, self.ttl_ms = client, duty, name, ttl_ms
+        self.held: Held | None = None
+
+    def holds(self) -> bool:
+        """Whether it may act now; look before each act."""
+        return self.held is not None and self.held.holds(time.monotonic_ns())
+
+    async def acquire(self) -> Held:
+        """Ask until it is granted."""
+        while True:
+            sent = time.monotonic_ns()
+            try:
+                result = await self._client.acquire(self.duty, self.name, self.ttl_ms)
+                if result.done:
+                    held = Held(self.duty, result.token, self.ttl_ms, sent)
+                    if held.holds(time.monotonic_ns()):
+                        self.held = held
+                        log.info("duty_held", duty=self.duty, holder=self.name, token=held.token)
+                        return held
+            except Unavailable:
+                pass
+            await asyncio.sleep(self.ttl_ms / 1000 / 10 * random.uniform(0.5, 1.0))
+
+    async def keep(self, until: Callable[[], bool] = lambda: False) -> str:
+        """Renew until it is lost, its time is nearly out, or `until` says so; returns why it ended."""
+        held = self.held
+        assert held is not None
+        while not until():
+            left = (held.until - time.monotonic_ns()) / 1e9
+            if left < self.ttl_ms / 1000 * STOP:
+                return "no renewal in time"
+            sent = time.monotonic_ns()
+            try:
+                async with asyncio.timeout(left - self.ttl_ms / 1000 * STOP + 0.001):
+                    result = await self._client.renew(self.duty, held.token)
+                if not result.done:
+                    return result.why
+                held.renewed(sent)
+            except (Unavailable, TimeoutError):
+                continue
+            await asyncio.sleep(self.ttl_ms / 1000 / RENEW)
+        return "done"
+
+    async def release(self, to: str = "") -> None:
+        """Stop first, then say so; with `to` only that successor may have it within the lease."""
+        held, self.held = self.held, None
+        if held is not None:
+            try:
+                await self._client.renew(self.duty, held.token, not to, to)
+            except Unavailable:
+                log.warning("duty_release_unheard", duty=self.duty)
+
+
+async def run(holder: Holder, command: Sequence[str]) -> int:
+    """Hold the duty, run the command under it, and end it before the duty can pass on; its exit code, or 75."""
+    held = await holder.acquire()
+    process = await asyncio.create_subprocess_exec(*command, start_new_session=True,
+                                                   env=None if held is None else _environ(holder, held.token))
+    keeping = asyncio.create_task(holder.keep())
+    waiting = asyncio.create_task(process.wait())
+    try:
+        await asyncio.wait((keeping, waiting), return_when=asyncio.FIRST_COMPLETED)
+        if not waiting.done():
+            log.error("duty_lost", duty=holder.duty, why=keeping.result())
+            await _end(process, (held.until - time.monotonic_ns()) / 1e9)
+            return 75
+        return await waiting
+    finally:
+        keeping.cancel()
+        if process.returncode is None:
+            await _end(process, 1.0)
+        await holder.release()
+
+
+def _environ(holder: Holder, token: int) -> dict[str, str]:
+    import os
+    return {**os.environ, "MOLEWORKS_DUTY": holder.duty, "MOLEWORKS_TOKEN": str(token)}
+
+
+async def _end(process: asyncio.subprocess.Process, left_s: float) -> None:
+    """SIGTERM, and SIGKILL in time, to all that the command has started."""
+    import os
+    for number, wait in ((signal.SIGTERM, max(0.01, left_s * 0.5)), (signal.SIGKILL, 5.0)):
+        try:
+            os.killpg(process.pid, number)
+            async with asyncio.timeout(wait):
+                await process.wait()
+                return
+        except ProcessLookupError:
+            return
+        except TimeoutError:
+            continue
