Store: elections after 0.45 s; who does not stand itself keeps nobody from it

Cause: a write came back 1.38 s (median) and up to 3.29 s after the leader's SIGKILL, with 0.6 to 1.2 s of patience and a client that paused up to 0.5 s.

Suspects: a cut that stayed (none was there), a vote refused for an older log (the asker's was newer), a voter that takes its leader for alive. It was the last: a member that is not yet a voter in its own log had its time-out counted as word from the leader, and refused its vote for good.

--- a/moleworks/rig/real/up.py
+++ b/moleworks/rig/real/up.py
@@ -56,7 +56,8 @@
     def draw(self) -> Group:
         """The whole screen."""
         fleet = self._fleet
-        table = Table(box=box.SIMPLE_HEAD, pad_edge=False, padding=(0, 1, 0, 0), title=f"{len(fleet.places.hosts)} hosts, {len(fleet.gateways)} gateways, "
+        table = Table(box=box.SIMPLE_HEAD, pad_edge=False, padding=(0, 1, 0, 0),
+                      title=f"{len(fleet.places.hosts)} hosts, {len(fleet.gateways)} gateways, "
                             f"{fleet.now() / 1e9:.0f} s; Ctrl-C ends it")
         for column in ("", "clients call", "state", "cpu", "MB", "hosts", "shun", "open", "done", "refused", "failed"):
             table.add_column(column, justify="left" if column in ("", "clients call", "state") else "right",
--- a/moleworks/store/client.py
+++ b/moleworks/store/client.py
@@ -125,7 +125,7 @@
             if time.monotonic() + pause > ends:
                 raise Unavailable(f"no answer in {self._timeout_s:g} s")
             await asyncio.sleep(pause * random.uniform(0.5, 1.5))
-            pause = min(0.5, pause * 1.7)
+            pause = min(0.2, pause * 1.7)
 
     def _go(self, answer: Answer) -> None:
         """To the leader that was named, or to anybody."""
--- a/moleworks/store/core.py
+++ b/moleworks/store/core.py
@@ -35,8 +35,8 @@
 class Timers(Struct, frozen=True):
     """Durations, ns.  Clock rates may differ by 1 in 100: `election` is far above `heartbeat`."""
 
-    heartbeat: int = 100_000_000
-    election: int = 600_000_000        # at least so long without a leader before a vote; at most twice that
+    heartbeat: int = 90_000_000
+    election: int = 450_000_000        # at least so long without a leader before a vote; at most twice that
     batch: int = 512                   # entries in one message
     batch_bytes: int = 512 * 1024
     piece: int = 256 * 1024            # bytes of a snapshot in one message
@@ -139,7 +139,7 @@
             if now >= self._beat_at:
                 self._beat()
         elif now >= self._heard + self._patience:
-            self._heard = now
+            self._heard, self.leader = now, ""   # who doesn't stand itself must not keep others from it either
             self._draw()
             if self._may_stand():
                 self._stand(True)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -13,7 +13,7 @@
 from moleworks.store import state
 from moleworks.store.core import LEADER, Core
 from moleworks.store.log import Log, Snapshot
-from moleworks.store.messages import Append, Appended, Ask, Config, Entry
+from moleworks.store.messages import Append, Appended, Ask, Config, Entry, Vote
 from moleworks.store.state import Acquire, Change, Condition, Expire, Guard, Open, Put, Renew, State, encode
 
 THREE = Config(("a", "b", "c"))
@@ -109,6 +109,17 @@
     assert gone.take().send == []
 
 
+def test_a_member_that_does_not_vote_yet_forgets_a_leader_that_is_gone() -> None:
+    """Its time-out counted as word from the leader: it refused its vote to the only one that could lead, for good."""
+    member = core("m", Entry(1, 1), config=Config(("a", "b")))
+    member.on_message(0, "a", Append(1, 1, 1, (), 1, 1))
+    member.take()
+    for second in range(1, 5):
+        member.tick(second * 10**9)
+    member.on_message(4 * 10**9 + 1, "a", Ask(2, 9, 1, True))
+    assert [message.granted for _, message in member.take().send if isinstance(message, Vote)] == [True]
+
+
 def test_one_member_alone_leads_and_commits_only_what_is_on_disk() -> None:
     member = core("a", config=Config(("a",)))
     member.tick(10**10)
