--- a/moleworks/rig/virtual/explore.py
+++ b/moleworks/rig/virtual/explore.py
@@ -19,7 +19,7 @@
 from moleworks.store.log import Log, Snapshot
 from moleworks.store.messages import Config, Message
 
-from .cluster import Disk
+from .members import Disk
 
 NAMES = ("a", "b", "c")
 LONG_AGO = -(10 ** 15)
--- a/moleworks/rig/virtual/histories.py
+++ b/moleworks/rig/virtual/histories.py
@@ -12,7 +12,8 @@
 from msgspec import Struct
 
 from ..linear import TooLong, held_twice, linearizable
-from .cluster import SECOND, Cluster, Parts, Settings
+from .cluster import Cluster, Settings
+from .members import SECOND, Parts
 
 CHUNK = 50
 
--- a/moleworks/rig/virtual/mutants.py
+++ b/moleworks/rig/virtual/mutants.py
@@ -13,7 +13,7 @@
 from moleworks.store.messages import Ask, Config, Entry, Message
 from moleworks.store.state import Acquire, Change, Command, Guard, Renew, Result, State
 
-from .cluster import Disk, Parts
+from .members import Disk, Parts
 
 
 class CommitsByCounting(Core):
--- a/tests/test_rig_links.py
+++ b/tests/test_rig_links.py
@@ -13,7 +13,8 @@
 
 from moleworks.rig import history
 from moleworks.rig.real.child import Clock
-from moleworks.rig.real.link import Link, UdpLink
+from moleworks.rig.real.link import Link
+from moleworks.rig.real.udp import UdpLink
 from tests.sockets import play
 
 
--- a/tests/test_store_real.py
+++ b/tests/test_store_real.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import resource
 import shutil
 import signal
 import sqlite3
@@ -39,12 +40,16 @@
     def where(self, name: str) -> str:
         return "{}:{}".format(*self.at[name])
 
-    def start(self, name: str, *more: str) -> subprocess.Popen[str]:
+    def start(self, name: str, *more: str, file_bytes: int = 0) -> subprocess.Popen[str]:
+        """With `file_bytes` its files can't grow past that: to a program, a disk that is full."""
+        def limit() -> None:
+            if file_bytes:
+                resource.setrlimit(resource.RLIMIT_FSIZE, (file_bytes, file_bytes))
         peers = ",".join(f"{peer}={self.where(peer)}" for peer in NAMES)
         command = [sys.executable, "-B", "-m", "moleworks", "--log-level", "error", "store", "serve", "--name", name,
                    "--listen", self.where(name), "--folder", str(self.folder / name), "--cluster", "t",
                    *(more or ("--peers", peers))]
-        self.processes[name] = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True)
+        self.processes[name] = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True, preexec_fn=limit)
         return self.processes[name]
 
     def kill(self, name: str) -> None:
@@ -258,6 +263,29 @@
     play(scene)
 
 
+def test_a_member_whose_disk_is_full_ends_and_the_others_go_on(store: Store) -> None:
+    async def scene() -> None:
+        leader = await store.leader()
+        name = next(peer for peer in NAMES if peer != leader)
+        store.kill(name)
+        process = store.start(name, file_bytes=200_000)
+        async with store.client() as client:
+            count = 0
+            while process.poll() is None:
+                assert (await client.change((Put(f"k{count % 50}", b"x" * 5000),))).done
+                count += 1
+            assert (await client.change((Put("after", b""),))).done
+        _, err = process.communicate()
+        assert process.returncode == 1 and err.count("\n") == 1 and "store.db" in err
+        assert "full" in err or "I/O error" in err
+        back = store.start(name)               # there is room again: what it had promised is there
+        async with store.client(name) as client:
+            while (await client.status()).revision < count + 1:
+                await asyncio.sleep(0.02)
+        assert back.poll() is None
+    play(scene)
+
+
 def test_what_is_no_frame_of_this_cluster_ends_its_connection_and_nothing_else(store: Store) -> None:
     async def scene() -> None:
         leader = await store.leader()
