--- a/moleworks/cli/rig.py
+++ b/moleworks/cli/rig.py
@@ -46,6 +46,16 @@
     return jobs or (1 if driver == "real" else len(os.sched_getaffinity(0)))
 
 
+def _prepared(file: str, out: Path, seeds: str, sets: tuple[str, ...]) -> tuple[Any, Any, Any]:
+    """The runs that are planned, their experiment, and the table of results in a folder that is ready."""
+    from moleworks.rig import runner
+    from moleworks.rig import sweep as sweeping
+    planned = sweeping.jobs(file, list(sets), sweeping.seeds_of(seeds))
+    experiment, _ = runner.load(file)
+    runner.prepare(out)
+    return planned, experiment, sweeping.Results(out / "results.sqlite")
+
+
 @group.command()
 @click.argument("file")
 @OUT
@@ -54,12 +64,9 @@
 @JOBS
 def sweep(file: str, out: Path, seeds: str, sets: tuple[str, ...], jobs: int | None) -> int:
     """Play many seeds and parameters on all cores; stopped, it goes on where it was.  Exit 1 if one broke."""
-    from moleworks.rig import report, runner
+    from moleworks.rig import report
     from moleworks.rig import sweep as sweeping
-    planned = sweeping.jobs(file, list(sets), sweeping.seeds_of(seeds))
-    experiment, _ = runner.load(file)
-    runner.prepare(out)
-    results = sweeping.Results(out / "results.sqlite")
+    planned, experiment, results = _prepared(file, out, seeds, sets)
     counts: dict[str, int] = {}
     for job, result in sweeping.run(planned, results, _workers(jobs, experiment.driver), out / "broken",
                                     not sys.stderr.isatty()):
@@ -84,12 +91,9 @@
 def compare(file: str, out: Path, seeds: str, sets: tuple[str, ...], jobs: int | None, versions: str) -> int:
     """Play versions and baselines on the same worlds and seeds; differences in pairs, with 95% intervals."""
     from moleworks.rig import compare as comparing
-    from moleworks.rig import report, runner
+    from moleworks.rig import report
     from moleworks.rig import sweep as sweeping
-    planned = sweeping.jobs(file, list(sets), sweeping.seeds_of(seeds))
-    experiment, _ = runner.load(file)
-    runner.prepare(out)
-    results = sweeping.Results(out / "results.sqlite")
+    planned, experiment, results = _prepared(file, out, seeds, sets)
     with comparing.checkouts(versions.split(","), experiment.driver == "real") as found:
         played = list(sweeping.run(comparing.expand(planned, found), results, _workers(jobs, experiment.driver), None,
                                    not sys.stderr.isatty()))
