One piece where two stood: judge of tokens, death with the parent, HOST:PORT; dead lines out

The judge of guarded writes was worded twice (histories and real members), prctl in the rig and in duties, HOST:PORT in member, client and commands: linear.tokens_broken, children.die_with_parent and wire.address serve both now. The core kept a table of writes under way, of which there is one, with an index that nothing read: a list. Out: a constant, an exception and a function that nothing used, and a count that was overwritten.

--- a/moleworks/cli/common.py
+++ b/moleworks/cli/common.py
@@ -9,6 +9,7 @@
 
 import click
 
+from moleworks import wire
 from moleworks.config import ConfigError
 
 STORE = click.option("--store", envvar="MOLEWORKS_STORE", required=True, metavar="HOST:PORT,...",
@@ -21,10 +22,10 @@
 
 def address(text: str, what: str) -> tuple[str, int]:
     """HOST:PORT.  Raises ConfigError."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not int(port) < 65536:
-        raise ConfigError([f"{what}: must be HOST:PORT, not {text!r}"])
-    return host, int(port)
+    try:
+        return wire.address(text)
+    except ValueError as error:
+        raise ConfigError([f"{what}: {error}"]) from None
 
 
 def ask(store: str, cluster: str, timeout: float, act: Callable[[Any], Coroutine[Any, Any, int]]) -> int:
--- a/moleworks/duties/holder.py
+++ b/moleworks/duties/holder.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import ctypes
 import os
 import random
 import signal
@@ -11,14 +10,13 @@
 from collections.abc import Callable, Sequence
 
 from moleworks import logs
+from moleworks.children import die_with_parent
 from moleworks.store.client import Client, Unavailable
 
 from .held import Held
 
 log = logs.get("duty")
 
-_LIBC = ctypes.CDLL(None, use_errno=True)
-_PDEATHSIG = 1
 RENEW = 3.0
 """A lease is renewed so many times in its length."""
 STOP = 0.25
@@ -83,9 +81,12 @@
 
 
 async def run(holder: Holder, command: Sequence[str]) -> int:
-    """Hold the duty, run the command under it, and end it before the duty can pass on; its exit code, or 75."""
+    """Hold the duty, run the command under it, and end it before the duty can pass on; its exit code, or 75.
+
+    A keeper that is killed takes its command along: nobody would end that in time any more.
+    """
     held = await holder.acquire()
-    process = await asyncio.create_subprocess_exec(*command, start_new_session=True, preexec_fn=_dies_with_us,
+    process = await asyncio.create_subprocess_exec(*command, start_new_session=True, preexec_fn=die_with_parent,
                                                    env=_environ(holder, held.token))
     keeping = asyncio.create_task(holder.keep())
     waiting = asyncio.create_task(process.wait())
@@ -103,11 +104,6 @@
         await holder.release()
 
 
-def _dies_with_us() -> None:
-    """A keeper that is killed takes its command along: nobody would end that in time any more."""
-    _LIBC.prctl(_PDEATHSIG, signal.SIGKILL)
-
-
 def _environ(holder: Holder, token: int) -> dict[str, str]:
     return {**os.environ, "MOLEWORKS_DUTY": holder.duty, "MOLEWORKS_TOKEN": str(token)}
 
--- a/moleworks/rig/linear.py
+++ b/moleworks/rig/linear.py
@@ -113,3 +113,16 @@
             if other.token != one.token and other.begin < one.end:
                 told.append(f"{duty}: {one.who} held it until {one.end}, {other.who} from {other.begin}")
     return told
+
+
+def tokens_broken(granted: Sequence[tuple[int, int]], guarded: Sequence[tuple[int, int, str]]) -> list[str]:
+    """Guarded changes that were accepted though a newer token had been given before they were even called.
+
+    `granted`: answered at, token; `guarded`: called at, token, whose.
+    """
+    told = []
+    for called, token, who in guarded:
+        newer = max((given for at, given in granted if at < called), default=0)
+        if newer > token:
+            told.append(f"guarded change of {who} with token {token} after token {newer} was given")
+    return told
--- a/moleworks/rig/real/child.py
+++ b/moleworks/rig/real/child.py
@@ -62,10 +62,8 @@
         """Milliseconds, and the share done within 5 ms."""
         histogram = self._histogram
         total = histogram.get_total_count()
-        within = histogram.get_count_at_value(5000)
-        if total:
-            within = sum(item.count_added_in_this_iter_step for item in histogram.get_recorded_iterator()
-                         if item.value_iterated_to <= 5000)
+        within = sum(item.count_added_in_this_iter_step for item in histogram.get_recorded_iterator()
+                     if item.value_iterated_to <= 5000)
         return {"planned": total, "within_5_ms": round(within / total, 5) if total else 1.0,
                 "late_p99_ms": histogram.get_value_at_percentile(99) / 1000,
                 "late_p999_ms": histogram.get_value_at_percentile(99.9) / 1000,
--- a/moleworks/rig/real/faults.py
+++ b/moleworks/rig/real/faults.py
@@ -40,7 +40,7 @@
         """Put them all on the clock."""
         loop = asyncio.get_running_loop()
         for at_s, index, fault, begins in self._turns:
-            loop.call_later(max(0.0, at_s - self._fleet.now() / 1e9 + 0.0), self._turn, index, fault, begins)
+            loop.call_later(max(0.0, at_s - self._fleet.now() / 1e9), self._turn, index, fault, begins)
 
     def _keep(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/moleworks/rig/real/fleet.py
+++ b/moleworks/rig/real/fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import os
 import shutil
 import subprocess
 import tempfile
@@ -291,9 +290,3 @@
                     shutil.copy(path, self.logs / path.name)
             shutil.rmtree(self._folder)
         self._block.close()
-
-
-def usage_of(pid: int) -> float:
-    """Processor seconds that a process has used."""
-    stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(stat[11]) + int(stat[12])) / os.sysconf("SC_CLK_TCK")
--- a/moleworks/rig/real/link.py
+++ b/moleworks/rig/real/link.py
@@ -23,8 +23,6 @@
 """The least retransmission time of TCP."""
 HOLD = 1 << 20
 """Bytes that a way holds before it stops reading."""
-HELD_S = 0.02
-"""Requests that were held longer are noted with the time they came."""
 UNREACHABLE = b"HTTP/1.1 599 Rig-Unreachable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
 """What a client's link says where nobody listens behind it; only the rig's own clients see it."""
 
--- a/moleworks/rig/real/members.py
+++ b/moleworks/rig/real/members.py
@@ -24,7 +24,7 @@
 from moleworks.store.client import Client, Unavailable
 from moleworks.store.state import Condition, Guard, Put
 
-from ..linear import Holding, Op, TooLong, held_twice, linearizable
+from ..linear import Holding, Op, TooLong, held_twice, linearizable, tokens_broken
 from .procs import Block, Child, Process
 
 NAMES = ("a", "b", "c")
@@ -267,11 +267,7 @@
                     told.append(f"{key} is not linearizable")
             except TooLong:
                 told.append(f"{key}: not decided")
-        told += held_twice(self.holdings)
-        for called, token, who in self.guarded:
-            newer = max((given for at, given in self.granted if at < called), default=0)
-            if newer > token:
-                told.append(f"guarded change of {who} with token {token} after token {newer} was given")
+        told += held_twice(self.holdings) + tokens_broken(self.granted, self.guarded)
 
 
 def play(seed: int, seconds: float) -> Seen:
--- a/moleworks/rig/real/procs.py
+++ b/moleworks/rig/real/procs.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import ctypes
 import os
 import signal
 import socket
@@ -16,23 +15,18 @@
 import msgspec
 
 from moleworks import logs
+from moleworks.children import die_with_parent
 
 log = logs.get("rig.procs")
 
-PDEATHSIG = 1
 END_S = 5.0
 """A process that does not end within this gets SIGKILL."""
-_LIBC = ctypes.CDLL(None, use_errno=True)
 
 
 class Trouble(Exception):
     """The rig could not do what an experiment asks; not a fault of the program under test."""
 
 
-def _dies_with_us() -> None:
-    _LIBC.prctl(PDEATHSIG, signal.SIGKILL)
-
-
 class Process:
     """One process group."""
 
@@ -49,7 +43,7 @@
         with open(err, "ab") as file:
             process = await asyncio.create_subprocess_exec(
                 *command, cwd=cwd, env=dict(env), stdin=pipe, stdout=pipe, stderr=file, start_new_session=True,
-                preexec_fn=_dies_with_us, limit=64 << 20)
+                preexec_fn=die_with_parent, limit=64 << 20)
         return cls(name, process)
 
     @property
--- a/moleworks/rig/real/run.py
+++ b/moleworks/rig/real/run.py
@@ -22,10 +22,6 @@
 log = logs.get("rig.run")
 
 
-class Interrupted(Exception):
-    """Ctrl-C or SIGTERM."""
-
-
 def play(experiment: Experiment, places: Places, out: Path, root: Path = ROOT) -> list[dict[str, Any]]:
     """Play it and leave `history.jsonl` in `out`; returns what the rig has to say of itself.
 
--- a/moleworks/rig/virtual/histories.py
+++ b/moleworks/rig/virtual/histories.py
@@ -4,14 +4,14 @@
 
 import os
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from typing import Any
 
 import msgspec
 from msgspec import Struct
 
-from ..linear import TooLong, held_twice, linearizable
+from ..linear import TooLong, held_twice, linearizable, tokens_broken
 from .cluster import Cluster, Settings
 from .members import SECOND, Parts
 
@@ -33,14 +33,6 @@
     entries: int = 0
 
 
-def tokens_broken(granted: Iterable[tuple[int, int]], guarded: Iterable[tuple[int, int, str]]) -> list[str]:
-    """Guarded changes that were accepted though a newer token had been given before they were even called."""
-    grants = sorted(granted)
-    return [f"guarded change of {who} with token {token} after token {newer} was given"
-            for called, token, who in guarded
-            for newer in [max((given for at, given in grants if at < called), default=0)] if newer > token]
-
-
 def judge(seed: int, parts: Parts | None = None, settings: Settings | None = None) -> Verdict:
     """Play one seed and look at it from outside."""
     cluster = Cluster(seed, settings, parts)
--- a/moleworks/store/client.py
+++ b/moleworks/store/client.py
@@ -132,8 +132,10 @@
         assert answer.elsewhere is not None
         if answer.elsewhere.busy:
             return
-        host, _, port = answer.address.rpartition(":")
-        where = (host, int(port)) if port.isdigit() else None
+        try:
+            where: tuple[str, int] | None = wire.address(answer.address)
+        except ValueError:   # nobody knows one
+            where = None
         if where != self._at or where is None:
             self._at = where
             if self._writer is not None:
--- a/moleworks/store/core.py
+++ b/moleworks/store/core.py
@@ -106,7 +106,7 @@
         self._writing = 0
         self._numbers = 0
         self._kept: list[tuple[str, Message]] = []      # to be sent once the next write is on disk
-        self._after: dict[int, tuple[list[tuple[str, Message]], int]] = {}
+        self._after: list[tuple[str, Message]] = []     # and once the one under way is
         self._out = Output()
         self._now = now
         self._heard = now                     # from a leader, or a vote given
@@ -452,7 +452,7 @@
     def _on_append(self, source: str, message: Append) -> None:
         log = self.log
         if message.prev_index < log.snapshot.index:
-            self._promise(source, Appended(self.term, True, max(log.snapshot.index, 0), message.round))
+            self._promise(source, Appended(self.term, True, log.snapshot.index, message.round))
             return
         if log.term(message.prev_index) != message.prev_term:
             hint = min(log.last_index, message.prev_index - 1)
@@ -545,8 +545,7 @@
                 write = self._write
                 write.number, write.term, write.vote = self._numbers, self.term, self.vote
                 self._writing = self._numbers
-                self._after[self._numbers] = (self._kept, self.log.last_index)
-                self._kept = []
+                self._after, self._kept = self._kept, []
                 self._write = Write(0, self.term, self.vote)
                 self._dirty = False
                 out.write = write
@@ -558,7 +557,7 @@
     def written(self, now: int, write: Write) -> None:
         """That write is on disk: what was promised on its behalf may go."""
         self._now = max(self._now, now)
-        kept, _ = self._after.pop(write.number)
+        kept, self._after = self._after, []
         self._writing = 0
         self._saved = (write.term, write.vote)
         if write.snapshot is not None:
--- a/moleworks/store/member.py
+++ b/moleworks/store/member.py
@@ -92,7 +92,7 @@
                     waits = asyncio.create_task(self._more.wait())
                     await asyncio.wait((hears, waits), return_when=asyncio.FIRST_COMPLETED)
                     waits.cancel()
-            except (OSError, TimeoutError, LookupError):
+            except (OSError, TimeoutError, LookupError, ValueError):
                 pass
             finally:
                 if writer is not None:
@@ -185,16 +185,14 @@
     def address_of(self, name: str) -> tuple[str, int]:
         """Where a member listens: as this process was told, else as the records or the member itself say.
 
-        Raises LookupError.
+        Raises LookupError, ValueError.
         """
         if name in self._peers:
             return self._peers[name]
         record = self.replica.state.get(ADDRESSES + name)
         if record is not None:
-            host, _, port = record.value.decode().rpartition(":")
-            return host, int(port)
-        host, _, port = self._known[name].address.rpartition(":")
-        return host, int(port)
+            return wire.address(record.value.decode())
+        return wire.address(self._known[name].address)
 
     # ---- The mind ---------------------------------------------------------------------------------------
 
--- a/moleworks/wire.py
+++ b/moleworks/wire.py
@@ -26,6 +26,14 @@
     return xxhash.xxh3_64_intdigest(name.encode())
 
 
+def address(text: str) -> tuple[str, int]:
+    """HOST:PORT.  Raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not int(port) < 65536:
+        raise ValueError(f"must be HOST:PORT, not {text!r}")
+    return host, int(port)
+
+
 def frame(cluster: int, payload: bytes) -> bytes:
     """One frame.  Raises WireError where it would be too long."""
     if len(payload) + 9 > MAX_FRAME:
