--- a/moleworks/cli/duty.py
+++ b/moleworks/cli/duty.py
@@ -66,3 +66,85 @@
         click.echo("handed over" if result.done else result.why)
         return 0 if result.done else 1
     return ask(store, cluster, timeout, act)
+
+
+@group.command()
+@click.argument("duty")
+@TTL
+@NAME
+@click.option("--wait", type=click.FloatRange(0), default=0.0, help="Seconds to ask again while another holds it.")
+@STORE
+@CLUSTER
+@TIMEOUT
+def acquire(duty: str, ttl_ms: int, name: str, wait: float, store: str, cluster: str, timeout: float) -> int:
+    """Acquire a duty for one lease and print its token; exit 1 and who holds it where it can't be had.
+
+    For scripts: `duty renew` before the lease is out, `duty release` at the end; `duty run` does both.
+    """
+    import asyncio
+    import time
+
+    async def act(client: Any) -> int:
+        ends = time.monotonic() + wait
+        while True:
+            result = await client.acquire(duty, name, ttl_ms)
+            if result.done or result.why != "held" or time.monotonic() >= ends:
+                break
+            await asyncio.sleep(ttl_ms / 10_000)
+        click.echo(result.token if result.done else f"{result.why} {result.holder} token {result.token}")
+        return 0 if result.done else 1
+    return ask(store, cluster, timeout, act)
+
+
+def _renewal(duty: str, token: int, release: bool, store: str, cluster: str, timeout: float) -> int:
+    async def act(client: Any) -> int:
+        result = await client.renew(duty, token, release)
+        if not result.done:
+            click.echo(result.why)
+        return 0 if result.done else 1
+    return ask(store, cluster, timeout, act)
+
+
+TOKEN = click.option("--token", type=int, required=True, help="Of the grant.")
+
+
+@group.command()
+@click.argument("duty")
+@TOKEN
+@STORE
+@CLUSTER
+@TIMEOUT
+def renew(duty: str, token: int, store: str, cluster: str, timeout: float) -> int:
+    """Begin the lease of a grant anew; it counts from before this was asked.  Exit 1 where it is lost."""
+    return _renewal(duty, token, False, store, cluster, timeout)
+
+
+@group.command()
+@click.argument("duty")
+@TOKEN
+@STORE
+@CLUSTER
+@TIMEOUT
+def release(duty: str, token: int, store: str, cluster: str, timeout: float) -> int:
+    """Let go of a grant, for a holder that has stopped acting under it.  Exit 1 where it is lost."""
+    return _renewal(duty, token, True, store, cluster, timeout)
+
+
+@group.command()
+@click.argument("duty")
+@click.option("--for", "seconds", type=click.FloatRange(0, min_open=True), default=None, help="Seconds; until Ctrl-C.")
+@STORE
+@CLUSTER
+def watch(duty: str, seconds: float | None, store: str, cluster: str) -> int:
+    """Print who holds a duty, now and whenever that changes."""
+    import asyncio
+    import contextlib
+
+    async def act(client: Any) -> int:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                async for row in client.watch_duty(duty):
+                    click.echo("nobody" if row is None else f"{row.holder} token {row.token}"
+                               + (f" handed to {row.to}" if row.to else ""))
+        return 0
+    return ask(store, cluster, 1e9, act)
--- a/moleworks/cli/store.py
+++ b/moleworks/cli/store.py
@@ -203,3 +203,72 @@
         print(f"moleworks: {error}", file=sys.stderr)
         return 1
     return 0
+
+
+@group.command()
+@STORE
+@CLUSTER
+def snapshot(store: str, cluster: str) -> int:
+    """Let each member's image take the place of its log now; exit 1 if one does not answer."""
+    code = 0
+    for text in store.split(","):
+        async def one(client: Any, text: str = text) -> int:
+            click.echo(f"{text} at revision {(await client.compact()).revision}")
+            return 0
+        code |= ask(text, cluster, 5.0, one)
+    return code
+
+
+@group.command()
+@click.argument("file", type=click.Path(path_type=Path, dir_okay=False))
+@click.option("--store", envvar="MOLEWORKS_STORE", metavar="HOST:PORT,...", help="Members to ask, or $MOLEWORKS_STORE.")
+@click.option("--folder", type=click.Path(path_type=Path, exists=True, file_okay=False),
+              help="In place of --store: the disk of a member that does not run, where no majority is left.")
+@click.option("--name", default="", help="That member's name.")
+@CLUSTER
+@TIMEOUT
+def backup(file: Path, store: str | None, folder: Path | None, name: str, cluster: str, timeout: float) -> int:
+    """Write all records, as of now, into FILE: whole or not at all."""
+    from moleworks.store import backup as backups
+    from moleworks.store.disk import Damaged
+
+    def write(image: bytes) -> int:
+        head = backups.write(file, cluster, image)
+        click.echo(f"{file}: {head.records} records, revision {head.revision}")
+        return 0
+
+    async def act(client: Any) -> int:
+        return write(await client.image())
+    try:
+        if folder is not None:
+            if not name:
+                raise click.UsageError("--folder wants the member's --name")
+            return write(backups.from_disk(folder, cluster, name))
+        if not store:
+            raise click.UsageError("--store or --folder must be given")
+        return ask(store, cluster, timeout, act)
+    except (Damaged, OSError) as error:
+        print(f"moleworks: {error}", file=sys.stderr)
+        return 1
+
+
+@group.command()
+@click.argument("file", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+@click.option("--folder", required=True, type=click.Path(path_type=Path, file_okay=False), help="A new member's disk.")
+@click.option("--name", required=True, help="Its name, not one of the old cluster's.")
+@CLUSTER
+def restore(file: Path, folder: Path, name: str, cluster: str) -> int:
+    """Make the disk of a new cluster's one member from a backup; start it, then let others join.
+
+    All members of the old cluster must have ended, and so long ago as the longest lease.
+    """
+    from moleworks.store import backup as backups
+    from moleworks.store.disk import Damaged
+    try:
+        head = backups.restore(file, folder, cluster, name)
+    except (Damaged, OSError) as error:
+        print(f"moleworks: {error}", file=sys.stderr)
+        return 1
+    click.echo(f"{folder}: {head.records} records; revisions go on after {head.revision}.  Start it with "
+               f"store serve --name {name} --peers {name}=HOST:PORT, and let others join")
+    return 0
--- a/moleworks/store/client.py
+++ b/moleworks/store/client.py
@@ -13,7 +13,25 @@
 
 from moleworks import wire
 
-from .protocol import ANSWER, ENCODE, Answer, Call, Get, Hello, List, Members, Row, Status, StatusRow, Transfer, Watch
+from .protocol import (
+    ANSWER,
+    ENCODE,
+    Answer,
+    Call,
+    Compact,
+    Get,
+    GrantRow,
+    Hello,
+    Image,
+    List,
+    Members,
+    Row,
+    Status,
+    StatusRow,
+    Transfer,
+    Watch,
+    WatchDuty,
+)
 from .state import Acquire, Change, Condition, Delete, Event, Guard, Open, Put, Renew, Result
 
 TRY_S = 1.0
@@ -197,31 +215,76 @@
         """Let another member lead."""
         await self.call(Transfer(to))
 
+    async def compact(self) -> Result:
+        """Let the image of the member that answers take the place of its log."""
+        result = (await self.call(Compact())).result
+        assert result is not None
+        return result
+
+    async def image(self) -> bytes:
+        """The state as of a linearizable read, for a backup.  Raises Unavailable, Refused."""
+        got = bytearray()
+        answer = await self.call(Image())
+        while True:
+            got += answer.data
+            if len(got) >= answer.size:
+                return bytes(got)
+            answer = await self.call(Image(answer.image, len(got)))
+
+    async def watch_duty(self, duty: str) -> AsyncIterator[GrantRow | None]:
+        """Who holds a duty, now and whenever that changes; never an older grant after a newer one."""
+        newest = 0
+        told: GrantRow | None | bool = False
+        while True:
+            try:
+                async for answer in self._stream(WatchDuty(duty)):
+                    if answer.error:
+                        raise Refused(answer.error)
+                    row = answer.grants[0] if answer.grants else None
+                    if row == told or (row is not None and row.token < newest):
+                        continue   # of a member that is behind
+                    newest = row.token if row is not None else newest
+                    told = row
+                    yield row
+            except (OSError, TimeoutError):
+                await self._lost()
+
+    async def _stream(self, what: Watch | WatchDuty) -> AsyncIterator[Answer]:
+        """Answers to one call as they come.  Raises OSError where the connection ends."""
+        self._calls += 1
+        number = self._calls
+        queue = self._waiting[number] = asyncio.Queue(10_000)
+        try:
+            writer = await self._connect()
+            writer.write(wire.frame(self._cluster, ENCODE(Call(number, what))))
+            while True:
+                answer = await queue.get()
+                if answer.error == "gone":
+                    raise ConnectionResetError
+                yield answer
+        finally:
+            self._waiting.pop(number, None)
+
+    async def _lost(self) -> None:
+        await self._drop()
+        self._at = None
+        await asyncio.sleep(random.uniform(0.05, 0.3))
+
     async def watch(self, prefix: str, after: int) -> AsyncIterator[Event]:
         """Changes after a revision, without gap or repeat, whichever member tells them.
 
         Raises Refused where that revision is compacted: list anew, and watch from there.
         """
         while True:
-            self._calls += 1
-            number = self._calls
-            queue = self._waiting[number] = asyncio.Queue(10_000)
             try:
-                writer = await self._connect()
-                writer.write(wire.frame(self._cluster, ENCODE(Call(number, Watch(prefix, after)))))
-                while True:
-                    answer = await queue.get()
+                async for answer in self._stream(Watch(prefix, after)):
                     if answer.compacted:
                         raise Refused(f"revision {after} is compacted; the newest is {answer.revision}")
                     if answer.error:
-                        raise ConnectionResetError
+                        raise Refused(answer.error)
                     for event in answer.events or ():
                         if event.revision > after:
                             yield event
                     after = max(after, answer.revision)
             except (OSError, TimeoutError):
-                await self._drop()
-                self._at = None
-                await asyncio.sleep(random.uniform(0.05, 0.3))
-            finally:
-                self._waiting.pop(number, None)
+                await self._lost()
--- a/moleworks/store/disk.py
+++ b/moleworks/store/disk.py
@@ -40,6 +40,8 @@
     disk: str
     boot: int
     format: int = FORMAT
+    life: str = ""       # drawn at this start
+    before: str = ""     # and at the one before
 
 
 class _Vote(Struct, array_like=True):
@@ -87,14 +89,14 @@
     def _identify(self, cluster: str, member: str) -> Identity:
         body = self._meta("identity")
         if body is None:
-            identity = Identity(cluster, member, secrets.token_hex(8), 1)
+            identity = Identity(cluster, member, secrets.token_hex(8), 1, life=secrets.token_hex(4))
         else:
             old: Identity = msgspec.msgpack.decode(body, type=Identity)
             if old.format > FORMAT:
                 raise Damaged(f"{self.path}: is of a newer version, {old.format}")
             if (old.cluster, old.member) != (cluster, member):
                 raise Damaged(f"{self.path}: is {old.member}'s of {old.cluster}, not {member}'s of {cluster}")
-            identity = msgspec.structs.replace(old, boot=old.boot + 1)
+            identity = msgspec.structs.replace(old, boot=old.boot + 1, life=secrets.token_hex(4), before=old.life)
         with self._transaction():
             self._put("identity", _ENCODE(identity))
         return identity
@@ -147,6 +149,16 @@
             yield _ENTRY.decode(body)
             expected += 1
 
+    def remember(self, member: str, met: bytes) -> None:
+        """Whom this member has met, on disk when this returns.  Raises sqlite3.Error."""
+        with self._transaction():
+            self._put(f"met {member}", met)
+
+    def met(self) -> dict[str, bytes]:
+        """Everybody it has met.  Raises Damaged."""
+        rows = self._db.execute("select name from meta where name like 'met %'").fetchall()
+        return {name.removeprefix("met "): self._meta(name) or b"" for (name,) in rows}
+
     def sync(self, write: Write) -> None:
         """All of a write, on disk when this returns, or none of it.  Raises sqlite3.Error (a full disk)."""
         with self._transaction():
--- a/moleworks/store/member.py
+++ b/moleworks/store/member.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import random
+import secrets
 import sqlite3
 import time
 from collections import deque
@@ -19,6 +20,7 @@
 
 from moleworks import logs, wire
 
+from . import known
 from .core import Core, Write
 from .disk import Damaged, Disk
 from .messages import Config
@@ -27,9 +29,11 @@
     FRAME,
     Answer,
     Call,
+    Compact,
     Get,
     GrantRow,
     Hello,
+    Image,
     List,
     Members,
     Peer,
@@ -38,9 +42,10 @@
     StatusRow,
     Transfer,
     Watch,
+    WatchDuty,
 )
 from .replica import Elsewhere, Replica
-from .state import Change, Open, Put, Result, State
+from .state import Change, Grant, Open, Put, Result, State
 
 log = logs.get("store")
 
@@ -52,6 +57,9 @@
 ADDRESSES = "_members/"
 """Where members listen is a record under this prefix."""
 LIST_MOST = 10_000
+IMAGE_PIECE = 256 * 1024
+IMAGE_S = 10.0
+"""A backup that asks for no piece for so long has been given up."""
 
 
 class Stopped(Exception):
@@ -116,6 +124,7 @@
         self.writer = writer
         self._cluster = cluster
         self.watches: dict[int, tuple[str, int]] = {}
+        self.duties: dict[int, tuple[str, int, str]] = {}    # what was told last: token, successor
 
     def say(self, answer: Answer) -> None:
         """An answer; one too long for a frame is an error."""
@@ -145,11 +154,16 @@
         first = Config() if joins else Config(tuple(sorted(peers)))
         loaded, term, vote = self.disk.load(first)
         identity = self.disk.identity
-        self.hello = Hello(name, "{}:{}".format(*listen), identity.disk, identity.boot)
+        self.hello = Hello(name, "{}:{}".format(*listen), identity.disk, identity.boot, identity.life, identity.before)
         core = Core(name, loaded, term, vote, random.Random(), time.monotonic_ns())
         self.replica = Replica(core, State.restored(loaded.snapshot.data), time.monotonic_ns())
         self._outs: dict[str, _Out] = {}
-        self._known: dict[str, Hello] = {}
+        try:
+            self._known: dict[str, Hello] = {other: msgspec.msgpack.decode(met, type=Hello)
+                                              for other, met in self.disk.met().items()}
+        except (sqlite3.Error, msgspec.DecodeError) as error:
+            raise Damaged(f"{self.disk.path}: {error}") from None
+        self._image: tuple[str, bytes, float] = ("", b"", 0.0)
         self._refused: dict[str, str] = {}
         self._clients: set[_Client] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -290,8 +304,16 @@
             client.say(Answer(0, error=why))
             await client.writer.drain()
             return
-        self._known[hello.member] = hello
         self._refused.pop(hello.member, None)
+        if hello != self._known.get(hello.member):
+            if hello.member not in self._known and len(self._known) >= known.MOST:
+                raise wire.WireError(f"more than {known.MOST} members were met")
+            self._known[hello.member] = hello
+            try:   # before it is heard: after a start of all members somebody must still know
+                await self._loop.run_in_executor(self._thread, self.disk.remember, hello.member, ENCODE(hello))
+            except sqlite3.Error as error:
+                self.stop(f"{self.disk.path}: {error}")
+                return
         while (frame := await self._frame(reader)) is not None:
             if not isinstance(frame, Peer):
                 raise wire.WireError("a member may send messages only")
@@ -302,14 +324,7 @@
         """A disk that was put back to an earlier time, or another one, may have forgotten what it voted."""
         if hello.member == self.name:
             return f"it calls itself {self.name}, as this member does"
-        known = self._known.get(hello.member)
-        if known is None:
-            return ""
-        if known.disk != hello.disk:
-            return "it has another disk than before: take it out and add it under a new name"
-        if hello.boot < known.boot:
-            return "its disk is older than it was before: take it out and add it under a new name"
-        return ""
+        return known.doubt(self._known.get(hello.member), hello)
 
     async def _client(self, reader: asyncio.StreamReader, client: _Client) -> None:
         while (frame := await self._frame(reader)) is not None:
@@ -333,6 +348,20 @@
             else:
                 client.watches[call.id] = (what.prefix, what.after)
                 self._tell_watch(client, call.id)
+        elif isinstance(what, WatchDuty):
+            if len(client.duties) >= 100:
+                client.say(Answer(call.id, error="too many watches on one connection"))
+            else:
+                client.duties[call.id] = (what.duty, -1, "")
+                self._tell_duty(client, call.id)
+        elif isinstance(what, Image):
+            if what.image:
+                self._answer_image(client, call.id, what)
+            else:
+                self.replica.read(now, whose)
+        elif isinstance(what, Compact):
+            self.replica.compact()
+            client.say(Answer(call.id, Result(True, self.replica.state.revision)))
         elif isinstance(what, Status):
             client.say(Answer(call.id, status=self._status()))
         elif isinstance(what, Members):
@@ -375,7 +404,27 @@
         else:
             client.say(self._elsewhere(number))
 
-    def _answer_read(self, client: _Client, number: int, what: Get | List) -> None:
+    def _answer_image(self, client: _Client, number: int, what: Image) -> None:
+        """A piece of an image; one image is kept at a time, as it may be large."""
+        name, data, used = self._image
+        now = time.monotonic()
+        if not what.image:
+            if name and now - used < IMAGE_S:
+                client.say(Answer(number, error="another backup is under way: come again in 10 s"))
+                return
+            name, data = secrets.token_hex(8), self.replica.state.image()
+        elif what.image != name:
+            client.say(Answer(number, error="this backup is gone: begin again"))
+            return
+        end = what.offset + IMAGE_PIECE
+        self._image = (name, data, now) if end < len(data) else ("", b"", 0.0)
+        client.say(Answer(number, data=data[what.offset:end], image=name, size=len(data),
+                          revision=self.replica.state.revision))
+
+    def _answer_read(self, client: _Client, number: int, what: Get | List | Image) -> None:
+        if isinstance(what, Image):
+            self._answer_image(client, number, what)
+            return
         state = self.replica.state
         if isinstance(what, Get):
             record = state.get(what.key)
@@ -383,8 +432,7 @@
             grants = None
         else:
             found = state.prefix(what.prefix, min(what.most, LIST_MOST))
-            grants = [GrantRow(duty, grant.holder, grant.token, grant.ttl_ms, grant.to)
-                      for duty, grant in sorted(state.grants.items())]
+            grants = [_grant_row(duty, grant) for duty, grant in sorted(state.grants.items())]
         client.say(Answer(number, rows=[Row(key, record.value, record.created, record.revision)
                                         for key, record in found], grants=grants, revision=state.revision))
 
@@ -392,6 +440,18 @@
         for client in self._clients:
             for number in list(client.watches):
                 self._tell_watch(client, number)
+            for number in client.duties:
+                self._tell_duty(client, number)
+
+    def _tell_duty(self, client: _Client, number: int) -> None:
+        """Who holds it, if that has changed since it was last told."""
+        duty, token, to = client.duties[number]
+        grant = self.replica.state.grants.get(duty)
+        here = (grant.token, grant.to) if grant is not None else (0, "")
+        if here != (token, to) and not client.full():
+            client.duties[number] = (duty, *here)
+            client.say(Answer(number, grants=[] if grant is None else [_grant_row(duty, grant)],
+                              revision=self.replica.state.revision))
 
     def _tell_watch(self, client: _Client, number: int) -> None:
         """What it has not been told yet; a slow reader is told later, in one piece."""
@@ -416,6 +476,10 @@
                          self.hello.boot, self.disk.size(), self._refused)
 
 
+def _grant_row(duty: str, grant: Grant) -> GrantRow:
+    return GrantRow(duty, grant.holder, grant.token, grant.ttl_ms, grant.to)
+
+
 class _Nobody(_Client):
     """Who asks when a member itself does."""
 
--- a/moleworks/store/protocol.py
+++ b/moleworks/store/protocol.py
@@ -17,13 +17,15 @@
     address: str = ""
     disk: str = ""
     boot: int = 0
+    life: str = ""                # drawn at this start
+    before: str = ""              # and at the one before
 
 
 class Call(Struct, frozen=True, tag="call"):
     """A client's call; the answer carries its number."""
 
     id: int
-    what: Command | Get | List | Watch | Status | Members | Transfer
+    what: Command | Get | List | Watch | WatchDuty | Status | Members | Transfer | Compact | Image
 
 
 class Get(Struct, frozen=True, tag=True):
@@ -48,6 +50,23 @@
     after: int
 
 
+class WatchDuty(Struct, frozen=True, tag=True):
+    """A duty's grant, now and whenever another holds it; what lies between may be left out."""
+
+    duty: str
+
+
+class Compact(Struct, frozen=True, tag=True):
+    """Let this member's image take the place of its log now."""
+
+
+class Image(Struct, frozen=True, tag=True):
+    """A piece of the state's image, for a backup: without an `image` a new one as of now, of which the answer names."""
+
+    image: str = ""
+    offset: int = 0
+
+
 class Status(Struct, frozen=True, tag=True):
     """How this member sees things."""
 
@@ -99,6 +118,9 @@
     revision: int = 0
     status: StatusRow | None = None
     error: str = ""
+    data: bytes = b""                     # a piece of an image
+    image: str = ""                       # its name
+    size: int = 0                         # and how long it is in all
 
 
 class StatusRow(Struct, frozen=True):
--- a/moleworks/store/state.py
+++ b/moleworks/store/state.py
@@ -144,6 +144,7 @@
     tokens: dict[str, int]
     compacted: int
     v: int = 1
+    floor: int = 0
 
 
 _ENCODE = msgspec.msgpack.Encoder().encode
@@ -167,6 +168,7 @@
         self._sessions: OrderedDict[str, _Session] = OrderedDict()
         self._events: deque[Event] = deque()
         self.compacted = 0                    # watches start after this revision at the earliest
+        self.floor = 0                        # every token is above it: what was given before a restore is below
 
     # ---- Changes ----------------------------------------------------------------------------------------
 
@@ -224,7 +226,7 @@
 
     def _guarded(self, guard: Guard) -> bool:
         """An older grant's holder may go on as if nothing had been: what it wants is refused."""
-        return guard.token >= self.tokens.get(guard.duty, 0) and guard.token > 0
+        return guard.token >= self.tokens.get(guard.duty, 0) and guard.token > self.floor
 
     def _set(self, key: str, value: bytes | None) -> None:
         record = self.records.get(key)
@@ -250,7 +252,7 @@
             return Result(False, self.revision, "held", grant.token, grant.holder)
         if not 0 < command.ttl_ms <= 3_600_000 or not 0 < len(command.duty) <= MAX_KEY:
             return Result(False, self.revision, "out of range")
-        token = self.tokens.get(command.duty, 0) + 1
+        token = max(self.tokens.get(command.duty, 0), self.floor) + 1
         self.tokens[command.duty] = token
         self.grants[command.duty] = Grant(token, command.holder, command.ttl_ms)
         return Result(True, self.revision, "", token, command.holder)
@@ -294,7 +296,7 @@
     def image(self) -> bytes:
         """All of it, sessions and tokens too: without those a change sent again would be applied twice."""
         return _ENCODE(_Image(self.revision, self.records, dict(self._sessions), self.grants, self.tokens,
-                              self.revision))
+                              self.revision, floor=self.floor))
 
     @classmethod
     def restored(cls, image: bytes) -> State:
@@ -305,5 +307,16 @@
             state.revision, state.records = told.revision, told.records
             state.grants, state.tokens = told.grants, told.tokens
             state._sessions = OrderedDict(told.sessions)
-            state.compacted = told.compacted
+            state.compacted, state.floor = told.compacted, told.floor
         return state
+
+    def anew(self, step: int) -> None:
+        """As of a restore: what was promised after this state's time is unknown, and nothing may be taken for it.
+
+        Revisions and tokens go on above any that can have been given since: their upper half counts restores, by
+        `step` (1 and a random part, so that two restores of one backup differ).  Sessions and grants are forgotten.
+        """
+        self.floor = max(self.revision >> 32, self.floor >> 32) + step << 32
+        self.revision = self.compacted = self.floor
+        self.grants, self._sessions = {}, OrderedDict()
+        self._events.clear()
