--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -204,7 +204,8 @@
         if self._fetch is None:
             self._fetch = self._call(False)
 
-    def move(self, address: tuple[str, int], lines: Lines, pushed: bool) -> None:
+    def move(self, address: tuple[str, int], lines: Lines, pushed: bool,
+             others: Sequence[tuple[str, int]] = ()) -> None:
         """Discovery is elsewhere now: its calls end there and begin here, a watch at once and from the start.
 
         The module is told nothing: it would wait before it asks again, and versions may be counted anew.
@@ -240,15 +241,24 @@
     def line(self, call: _Call, text: bytes) -> None:
         """A list or its changes have come."""
         try:
-            generation, whole, entries = self._lines.parse(json.loads(text))
+            told = json.loads(text)
+            generation, whole, entries = self._lines.parse(told)
         except (BadLine, ValueError, RecursionError) as error:
             # Guards against a lost change: the call is given up and begun anew from the last good version.
             log.warning("broken line dropped: %s", error)
             self.ended(call, "a broken line")
             return
+        whole = whole or call is self._fetch
+        if why := self._doubt(told, generation, whole, entries):
+            self.ended(call, why)
+            return
         self.generation = generation
         self._pause = BACKOFF_FIRST
-        self._tell(ListKind.FULL if whole or call is self._fetch else ListKind.DELTA, entries)
+        self._tell(ListKind.FULL if whole else ListKind.DELTA, entries)
+
+    def _doubt(self, told: dict[str, Any], generation: int, whole: bool, entries: Sequence[Listed]) -> str:
+        """Why a list is not taken; one service alone is believed."""
+        return ""
 
     def ended(self, call: _Call, why: str, failed: bool = True) -> None:
         """A call is over; told once, and only if it failed."""
--- /dev/null
+++ b/gateway/failover.py
@@ -0,0 +1,204 @@
+"""Several list services, any of which may be down, behind or wrong, and the last good list on disk.
+
+Loaded only where the configuration names several addresses or a folder.  A service that fails is followed by the next
+at once, with jitter; only when all have failed in turn is the module told so.  A list is refused that is older than the
+one that is known, or that would leave no host: neither can be an order.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import os
+import random
+import time
+import zlib
+from collections.abc import Callable, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from bridgesaddle.api import SECOND, ListKind
+
+from .discovery import Discovery, Lines, Listed, _Call
+from .timers import Timers
+
+log = logging.getLogger("gateway.failover")
+
+JITTER = 300_000_000
+"""ns: gateways that lose a service do not all come to the next one at the same time."""
+MAGIC = b"moleworks-list 1 "
+KEPT_S = 24 * 3600
+"""An older file is not used: wall time, as no other clock outlives a process."""
+TOUCH = 60 * SECOND
+GATHER = SECOND // 5
+"""Changes so close together are written once."""
+MOST_BYTES = 64 << 20
+
+Address = tuple[str, int]
+
+
+class KeptList:
+    """One file: magic, CRC-32 and length, then the whole list in discovery's form.  Whole or not there."""
+
+    def __init__(self, folder: str, name: str) -> None:
+        safe = "".join(letter if letter.isalnum() or letter in "-_" else "_" for letter in name) or "gateway"
+        self.path = os.path.join(folder, f"list-{safe}.json")
+
+    def read(self) -> dict[str, Any] | None:
+        """The list; None where there is none that can be used."""
+        try:
+            with open(self.path, "rb") as file:
+                age = time.time() - os.fstat(file.fileno()).st_mtime
+                data = file.read(MOST_BYTES)
+            head, _, body = data.partition(b"\n")
+            crc, length = head.removeprefix(MAGIC).split()
+            if not head.startswith(MAGIC) or int(length) != len(body) or int(crc) != zlib.crc32(body):
+                raise ValueError("it does not fit its checksum")
+            if age > KEPT_S:
+                raise ValueError(f"it is {age / 3600:.0f} hours old")
+            told: dict[str, Any] = json.loads(body)
+            log.info("the kept list is %.0f s old, version %s", age, told.get("generation"))
+            return told
+        except FileNotFoundError:
+            return None
+        except (OSError, ValueError, RecursionError, AttributeError) as error:
+            log.warning("%s is not used: %s", self.path, error)
+            return None
+
+    def write(self, told: dict[str, Any]) -> None:
+        """Replace the file.  A folder that can't be written is a line in the log."""
+        fresh = f"{self.path}.{os.getpid()}.new"
+        try:
+            body = json.dumps(told, separators=(",", ":")).encode()
+            with open(fresh, "wb") as file:
+                file.write(b"%b%d %d\n%b" % (MAGIC, zlib.crc32(body), len(body), body))
+                file.flush()
+                os.fsync(file.fileno())
+            os.replace(fresh, self.path)
+        except OSError as error:
+            log.warning("the list is not kept: %s", error)
+            with contextlib.suppress(OSError):
+                os.unlink(fresh)
+
+    def touch(self) -> None:
+        """It is still the list."""
+        with contextlib.suppress(OSError):
+            os.utime(self.path)
+
+
+class Failover(Discovery):
+    """`Discovery` at several addresses, in turn."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, addresses: Sequence[Address], lines: Lines,
+                 pushed: bool, tell: Callable[[ListKind, list[Listed]], None], kept: KeptList | None) -> None:
+        self._all = list(addresses)
+        random.shuffle(self._all)      # gateways spread over the services
+        super().__init__(loop, timers, self._all[0], lines, pushed, tell)
+        self._failed = 0               # services that failed since one told a list
+        self._wanted = False
+        self._rows: dict[str, Any] = {}
+        self._kept = kept
+        self._thread = ThreadPoolExecutor(1, "list") if kept is not None else None
+        self._writing = False
+        self._touched = 0
+        self.refused = 0
+
+    # ---- What is told ------------------------------------------------------------------------------------
+
+    def known(self, listed: Any) -> None:
+        """The newer of the configuration's list and the one that was kept."""
+        kept = self._kept.read() if self._kept is not None else None
+        if kept is not None and (not listed.get("instances") or kept["generation"] > listed.get("generation", 0)):
+            listed = kept
+        super().known(listed)
+        self._rows = {row["instanceId"]: row for row in listed.get("instances", ()) if "instanceId" in row}
+
+    def _doubt(self, told: dict[str, Any], generation: int, whole: bool, entries: Sequence[Listed]) -> str:
+        if generation < self.generation:
+            return f"a list of version {generation} after {self.generation}"
+        rows = {} if whole else dict(self._rows)
+        for row in told["instances"]:
+            if isinstance(row, dict) and isinstance(row.get("instanceId"), str):
+                if row.get("lifecycle") == "terminated":
+                    rows.pop(row["instanceId"], None)
+                else:
+                    rows[row["instanceId"]] = row
+        if self._rows and not rows:
+            return "a list that leaves no host"
+        if whole and len(entries) * 2 < len(told["instances"]):
+            return "a list that can't be read for the most part"
+        self._rows = rows
+        self._failed = 0
+        if self._kept is not None and not self._writing:
+            self._writing = True
+            self._timers.after(GATHER, self._save, None)
+        return ""
+
+    def _save(self, _: None) -> None:
+        assert self._kept is not None and self._thread is not None
+        self._writing = False
+        told = {"generation": self.generation, "reset": True, "instances": list(self._rows.values())}
+        self._thread.submit(self._kept.write, told)
+
+    # ---- Services ----------------------------------------------------------------------------------------
+
+    def watch(self, active: bool) -> None:
+        """Subscribe, or no longer."""
+        self._wanted = active
+        super().watch(active)
+
+    def ended(self, call: _Call, why: str, failed: bool = True) -> None:
+        """A service has failed: on to the next; the module hears of it only once all have."""
+        if call.over:
+            return
+        if not failed:
+            super().ended(call, why, failed)
+            return
+        self.refused += why.startswith("a list")
+        self._address = self._all[(self._all.index(self._address) + 1) % len(self._all)]
+        self.authority = f"{self._address[0]}:{self._address[1]}"
+        self._failed += 1
+        if self._failed >= len(self._all):
+            self._failed = 0
+            super().ended(call, why, failed)
+            return
+        log.info("discovery: %s: on to %s", why, self.authority)
+        watch = call is self._watch
+        call.close()
+        if watch:
+            self._watch = None
+        elif call is self._fetch:
+            self._fetch = None
+        self._timers.after(int(JITTER * random.random()), self._again, watch)
+
+    def _again(self, watch: bool) -> None:
+        if not watch:
+            self.fetch()
+        elif self._wanted:
+            self.watch(True)
+
+    def move(self, address: Address, lines: Lines, pushed: bool, others: Sequence[Address] = ()) -> None:
+        """Other services from now on; where there are the same ones nothing ends."""
+        every = [address, *others]
+        same = set(every) == set(self._all)
+        self._all = every
+        if not same or lines.names != self._lines.names:
+            self._rows = {}
+            self._failed = 0
+        super().move(self._address if same else address, lines, pushed)
+
+    def sweep(self, now: int) -> None:
+        """Give up calls that have gone silent; a list that a living watch confirms is not old."""
+        super().sweep(now)
+        if (self._kept is not None and self._thread is not None and now - self._touched > TOUCH
+                and self._watch is not None and self._watch.heard):
+            self._touched = now
+            self._thread.submit(self._kept.touch)
+
+    def close(self) -> None:
+        """End everything; the program is over."""
+        super().close()
+        if self._thread is not None:
+            self._thread.shutdown()
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -78,7 +78,10 @@
                 told: dict[str, Any] = json.load(file)
             self.told = told
             self.listen = host_and_port(environ.get("EDGE_LISTEN") or told["listen"])
-            self.discovery = host_and_port(environ.get("EDGE_DISCOVERY") or told["discovery"])
+            self.discovery, *self.others = map(host_and_port, str(
+                environ.get("EDGE_DISCOVERY") or told["discovery"]).split(","))
+            self.list_folder = str(environ.get("EDGE_LIST_FOLDER") or told.get("list_folder", ""))
+            self.name = str(environ.get("EDGE_NAME") or told.get("name", ""))
             self.seed = int(str(told.get("seed", "0")), 16)
             self.sockets = int(told.get("limits", {}).get("sockets", 1024))
             self.memory = int(told.get("limits", {}).get("memory_mb", MEMORY)) << 20
@@ -109,7 +112,7 @@
             raise BadConfig(f"{', '.join(missing)} is missing")
 
 
-MAY_GO = frozenset(("operator", "peers", "peers_all", "peer_listen", "aim-stretch", "family-info"))
+MAY_GO = frozenset(("operator", "list_folder", "peers", "peers_all", "peer_listen", "aim-stretch", "family-info"))
 """Keys that a later configuration need not have."""
 
 
@@ -164,9 +167,16 @@
                                   self.stats, self.room)
         # Read once: a host's start must be the same number each time it is told.
         self._offset = time.monotonic_ns() - time.time_ns()
-        self.discovery = Discovery(loop, self.timers, config.discovery,
-                                    Lines(config.zones, config.kinds, self._offset),
-                                    not settings.ask_discovery, self._on_list)
+        lines = Lines(config.zones, config.kinds, self._offset)
+        self.discovery: Discovery
+        if config.others or config.list_folder:
+            from .failover import Failover, KeptList
+            kept = KeptList(config.list_folder, config.name) if config.list_folder else None
+            self.discovery = Failover(loop, self.timers, [config.discovery, *config.others], lines,
+                                      not settings.ask_discovery, self._on_list, kept)
+        else:
+            self.discovery = Discovery(loop, self.timers, config.discovery, lines, not settings.ask_discovery,
+                                       self._on_list)
         self.core.attach(self.upstream, self.discovery)
         self.server = Server(self.core, settings, clients, self.stats, self.room)
         self.admin = Admin({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars,
@@ -305,7 +315,7 @@
         self._columns = told.columns
         self.core.on_settings(settings, told.columns)
         self.discovery.move(told.discovery, Lines(told.zones, told.kinds, self._offset),
-                            not settings.ask_discovery)
+                            not settings.ask_discovery, told.others)
 
     def stop(self) -> None:
         """SIGTERM: unready at once, but what crosses it on the way is still taken and answered."""
--- a/moleworks/cli/__init__.py
+++ b/moleworks/cli/__init__.py
@@ -11,6 +11,8 @@
 GROUPS = {"config": "Check, show and describe configuration files.",
           "store": "Records with revisions, replicated over some members.",
           "duty": "Duties that only one process holds at a time.",
+          "registry": "The list of hosts: served, watched, changed.",
+          "prober": "Ask a zone's hosts whether they are well, in one process for all.",
           "rig": "Run a fleet with faults between its processes, and judge it."}
 
 
--- a/moleworks/store/client.py
+++ b/moleworks/store/client.py
@@ -212,9 +212,9 @@
         rows = (await self.call(Get(key))).rows
         return rows[0] if rows else None
 
-    async def list(self, prefix: str = "", most: int = 1000) -> Answer:
-        """Records and grants."""
-        return await self.call(List(prefix, most))
+    async def list(self, prefix: str = "", most: int = 1000, after: str = "") -> Answer:
+        """Records by prefix, page by page with `after`, and grants."""
+        return await self.call(List(prefix, most, False, after))
 
     async def status(self) -> StatusRow:
         """Of the member that answers."""
@@ -291,9 +291,16 @@
         await asyncio.sleep(random.uniform(0.05, 0.3))
 
     async def watch(self, prefix: str, after: int) -> AsyncIterator[Event]:
-        """Changes after a revision, without gap or repeat, whichever member tells them.
+        """Changes after a revision, one by one; see `watch_all`."""
+        async for events, _ in self.watch_all(prefix, after):
+            for event in events:
+                yield event
 
-        Raises Refused where that revision is compacted: list anew, and watch from there.
+    async def watch_all(self, prefix: str, after: int) -> AsyncIterator[tuple[Sequence[Event], int]]:
+        """Changes after a revision, without gap or repeat, whichever member tells them; up to which one that is all.
+
+        Changes of one revision come together.  Raises Refused where the revision is compacted: list anew, and watch
+        from there.
         """
         while True:
             try:
@@ -302,9 +309,8 @@
                         raise Refused(f"revision {after} is compacted; the newest is {answer.revision}")
                     if answer.error:
                         raise Refused(answer.error)
-                    for event in answer.events or ():
-                        if event.revision > after:
-                            yield event
+                    fresh = [event for event in answer.events or () if event.revision > after]
                     after = max(after, answer.revision)
+                    yield fresh, after
             except (OSError, TimeoutError):
                 await self._lost()
--- a/moleworks/store/member.py
+++ b/moleworks/store/member.py
@@ -45,7 +45,7 @@
     WatchDuty,
 )
 from .replica import Elsewhere, Replica
-from .state import Change, Grant, Open, Put, Result, State
+from .state import Change, Event, Grant, Open, Put, Result, State
 
 log = logs.get("store")
 
@@ -57,6 +57,8 @@
 ADDRESSES = "_members/"
 """Where members listen is a record under this prefix."""
 LIST_MOST = 10_000
+WATCH_BYTES = 400_000
+"""Changes that a watch is told in one frame."""
 BEAT_S = 1.0
 """A watch hears so often that nothing is new; a client that hears nothing for WATCH_S asks another member."""
 IMAGE_PIECE = 256 * 1024
@@ -439,7 +441,7 @@
             found = [] if record is None else [(what.key, record)]
             grants = None
         else:
-            found = state.prefix(what.prefix, min(what.most, LIST_MOST))
+            found = state.prefix(what.prefix, min(what.most, LIST_MOST), what.after)
             grants = [_grant_row(duty, grant) for duty, grant in sorted(state.grants.items())]
         client.say(Answer(number, rows=[Row(key, record.value, record.created, record.revision)
                                         for key, record in found], grants=grants, revision=state.revision))
@@ -457,9 +459,10 @@
             await asyncio.sleep(BEAT_S)
             if self.replica.core.leader:
                 for client in self._clients:
-                    for number, (_, after) in client.watches.items():
-                        if not client.full():
-                            client.say(Answer(number, events=[], revision=after))
+                    for number in list(client.watches):
+                        self._tell_watch(client, number)   # what it was too slow for
+                        if number in client.watches and not client.full():
+                            client.say(Answer(number, events=[], revision=client.watches[number][1]))
                     for number in client.duties:
                         if not client.full():
                             client.say(Answer(number))
@@ -485,7 +488,17 @@
             del client.watches[number]
             client.say(Answer(number, compacted=True, revision=state.revision))
             return
-        events = list(found)
+        events: list[Event] = []
+        size = 0
+        for event in found:     # a revision is never torn apart
+            if size > WATCH_BYTES and event.revision > events[-1].revision:
+                client.say(Answer(number, events=events, revision=events[-1].revision))
+                client.watches[number] = (prefix, events[-1].revision)
+                if client.full():
+                    return      # the rest once it has read this
+                events, size = [], 0
+            events.append(event)
+            size += len(event.key) + len(event.value or b"") + 32
         client.watches[number] = (prefix, state.revision)
         if events:
             client.say(Answer(number, events=events, revision=state.revision))
--- a/moleworks/store/protocol.py
+++ b/moleworks/store/protocol.py
@@ -41,6 +41,7 @@
     prefix: str = ""
     most: int = 1000
     stale: bool = False
+    after: str = ""               # only keys beyond this one: the next page
 
 
 class Watch(Struct, frozen=True, tag=True):
--- a/moleworks/store/state.py
+++ b/moleworks/store/state.py
@@ -280,9 +280,11 @@
         """A record, or None."""
         return self.records.get(key)
 
-    def prefix(self, prefix: str, most: int) -> list[tuple[str, Record]]:
-        """Records whose keys begin so, in order, at most so many."""
-        found = sorted(key for key in self.records if key.startswith(prefix))
+    def prefix(self, prefix: str, most: int, after: str = "") -> list[tuple[str, Record]]:
+        """Records whose keys begin so and lie beyond `after`, in order, at most so many."""
+        if not most:
+            return []
+        found = sorted(key for key in self.records if key.startswith(prefix) and key > after)
         return [(key, self.records[key]) for key in found[:most]]
 
     def events(self, after: int, prefix: str) -> Iterator[Event] | None:
