--- a/gateway/failover.py
+++ b/gateway/failover.py
@@ -137,7 +137,8 @@
         return ""
 
     def _save(self, _: None) -> None:
-        assert self._kept is not None and self._thread is not None
+        if not self._writing or self._kept is None or self._thread is None:
+            return
         self._writing = False
         told = {"generation": self.generation, "reset": True, "instances": list(self._rows.values())}
         self._thread.submit(self._kept.write, told)
@@ -200,5 +201,6 @@
     def close(self) -> None:
         """End everything; the program is over."""
         super().close()
+        self._save(None)      # what was about to be
         if self._thread is not None:
             self._thread.shutdown()
--- a/moleworks/cli/registry.py
+++ b/moleworks/cli/registry.py
@@ -11,7 +11,7 @@
 
 import click
 
-from .common import CLUSTER, STORE, address
+from .common import CLUSTER, STORE, address, members
 
 REGISTRY = click.option("--registry", envvar="MOLEWORKS_REGISTRY", required=True, metavar="HOST:PORT,...",
                         help="List services, or $MOLEWORKS_REGISTRY.")
@@ -44,10 +44,10 @@
     from moleworks.registry.http import serve as serving
     from moleworks.store.client import Client
     where = address(listen, "--listen")
-    members = [address(text, "--store") for text in store.split(",")]
+    asked = members(store)
 
     async def main() -> None:
-        async with Client(members, cluster, 3.0) as client:
+        async with Client(asked, cluster, 3.0) as client:
             task = asyncio.ensure_future(serving(Http(client, name, Limits(share), bound), where))
             for number in (signal.SIGTERM, signal.SIGINT):
                 asyncio.get_running_loop().add_signal_handler(number, task.cancel)
--- a/moleworks/cli/rig.py
+++ b/moleworks/cli/rig.py
@@ -184,6 +184,19 @@
     return 1 if broken else 0
 
 
+@group.command()
+@click.option("--changes", type=click.IntRange(100, 100_000_000), default=1_000_000, show_default=True)
+@click.option("--clients", type=click.IntRange(1, 2000), default=128, show_default=True)
+def endure(changes: int, clients: int) -> int:
+    """So many changes on three members: their memory meanwhile, and how soon each is back after SIGKILL."""
+    import asyncio
+
+    from moleworks.rig.real import endure as enduring
+    result = asyncio.run(enduring.endure(changes, clients, lambda row: click.echo(json.dumps(row))))
+    click.echo(json.dumps(result))
+    return 0
+
+
 @group.command()
 @click.option("--timeouts", type=click.IntRange(0, 9), default=1, show_default=True)
 @click.option("--writes", type=click.IntRange(0, 9), default=2, show_default=True)
--- a/moleworks/cli/store.py
+++ b/moleworks/cli/store.py
@@ -11,6 +11,7 @@
 import click
 
 from .common import CLUSTER, STORE, TIMEOUT, address, ask
+from .common import members as asked_members
 
 
 @click.group()
@@ -141,7 +142,7 @@
     histogram = HdrHistogram(1, 60_000_000, 3)
 
     async def one(number: int, ends: float) -> None:
-        async with Client([address(text, "--store") for text in store.split(",")], cluster) as client:
+        async with Client(asked_members(store), cluster) as client:
             await client.change(())
             while time.monotonic() < ends:
                 begun = time.monotonic()
--- a/moleworks/registry/expiry.py
+++ b/moleworks/registry/expiry.py
@@ -12,6 +12,8 @@
 class Limits(Struct, frozen=True):
     """Past `share` of a zone's hosts silent at once (and more than `least`) nobody leaves: they are doubtful.
 
+    At once: for half of their lease, or gone within one.  Else a zone whose beats are all lost would leave by twos.
+
     A quarter: a zone of 8 may lose one or two machines in a lease, not three; the half of all whose beats are lost
     stays.
     """
@@ -25,6 +27,7 @@
 
     def __init__(self, now: int, hosts: Mapping[str, Host], limits: Limits) -> None:
         self._limits = limits
+        self._gone: dict[str, tuple[str, int, int]] = {}     # zone, when, lease
         self._seen: dict[str, int] = {host.session: now for host in hosts.values() if host.session}
 
     def beat(self, now: int, sessions: Iterable[str]) -> None:
@@ -36,13 +39,22 @@
         """Who leaves the list, and who is doubtful, by name."""
         silent: dict[str, list[str]] = {}
         zones: dict[str, int] = {}
+        falling: dict[str, set[str]] = {}      # silent for half of it, or gone a short while ago
+        for name, (zone, at, ttl) in list(self._gone.items()):
+            if now - at > ttl:
+                del self._gone[name]
+            else:
+                falling.setdefault(zone, set()).add(name)
         current = set()
         for name, host in hosts.items():
             zones[host.row.zone] = zones.get(host.row.zone, 0) + 1
             if not host.session:
                 continue
             current.add(host.session)
-            if now - self._seen.setdefault(host.session, now) > host.ttl_ms * 1_000_000:
+            quiet, ttl = now - self._seen.setdefault(host.session, now), host.ttl_ms * 1_000_000
+            if quiet > ttl // 2:
+                falling.setdefault(host.row.zone, set()).add(name)
+            if quiet > ttl:
                 silent.setdefault(host.row.zone, []).append(name)
         for session in [session for session in self._seen if session not in current]:
             del self._seen[session]
@@ -50,5 +62,10 @@
         doubtful: list[str] = []
         for zone, names in silent.items():
             most = max(self._limits.least, int(zones[zone] * self._limits.share))
-            (leave if len(names) <= most else doubtful).extend(names)
+            if len(falling[zone]) > most:
+                doubtful += names
+                continue
+            leave += names
+            for name in names:
+                self._gone.setdefault(name, (zone, now, hosts[name].ttl_ms * 1_000_000))
         return leave, sorted(doubtful)
--- a/moleworks/rig/real/members.py
+++ b/moleworks/rig/real/members.py
@@ -23,14 +23,18 @@
 from moleworks.store.state import Condition, Put
 
 from .. import history
-from ..store_history import Begun, Calm, Died, Event, Operation
+from ..store_history import Begun, Calm, Died, Event, Operation, Truth
 from ..store_judge import judge
 from ..store_spec import MEMBERS, SPARES, StoreExperiment, schedule
 from .child import Clock
 from .procs import Block, Child, Process
 
+SETTLE_S = 4.0
+"""So long after the last change watchers may take to hear of it."""
 ROOT = Path(__file__).resolve().parents[3]
 WATCHER = "watcher"
+WATCHERS, HOSTS = "watchers", "hosts"
+"""Those who watch the list, and those who keep themselves in it."""
 
 
 class Run:
@@ -46,9 +50,12 @@
         self.keepers = [f"d{number}" for number in range(experiment.keepers)]
         self.writers = [f"w{number}" for number in range(experiment.writers)]
         self.at = {name: self.block.at(2, 7000 + index) for index, name in enumerate(self.all)}
+        self.services = [f"r{number}" for number in range(experiment.services)]
+        self.service_at = {name: self.block.at(4, 7000 + index) for index, name in enumerate(self.services)}
         self.ways = {pair: index for index, pair in enumerate(
-            (source, target) for source in (*self.all, *self.keepers, *self.writers, WATCHER)
-            for target in self.all if source != target)}
+            [*((source, target) for source in (*self.all, *self.keepers, *self.writers, WATCHER, *self.services)
+               for target in self.all if source != target),
+             *((source, target) for source in (WATCHERS, HOSTS) for target in self.services)])}
         self.writer = history.Writer(folder / "rig.part")
         self.processes: dict[str, Process] = {}
         self.children: dict[str, Child] = {}
@@ -122,6 +129,55 @@
         self.wanted_down.discard(name)
         self.children[name].tell("go", epoch=self.clock.epoch)
 
+    async def start_service(self, name: str) -> None:
+        """A process of the list service; it reaches the store's members through links."""
+        odd = {"delay": "", "without": self.experiment.without}
+        told = ",".join("{}={}:{}".format(target, *self.through(name, target)) for target in self.all)
+        self.wanted_down.discard(name)
+        self.processes[name] = await Process.start(
+            name, [sys.executable, "-B", "-m", "moleworks.rig.real.odd", msgspec.json.encode(odd).decode(),
+                   "--log-level", "warning", "registry", "serve", "--name", name,
+                   "--listen", "{}:{}".format(*self.service_at[name]), "--store", told, "--cluster", "rig",
+                   "--bound", str(self.experiment.bound_s)], ROOT, dict(os.environ), self.folder / f"{name}.log")
+        self.died(name, "started")
+        self._tasks.append(asyncio.create_task(self._wait(name, self.processes[name])))
+
+    async def _start_list(self) -> None:
+        """Services, those who watch them, and hosts."""
+        experiment = self.experiment
+        await asyncio.gather(*(self.start_service(name) for name in self.services))
+        if not self.services:
+            return
+        self.children[HOSTS] = await Child.start(HOSTS, "moleworks.rig.real.listed", {
+            "part": str(self.folder / "hosts.part"), "hosts": experiment.hosts, "ttl_ms": experiment.host_ttl_ms,
+            "addresses": [self.through(HOSTS, target) for target in self.services], "seed": experiment.seed,
+            "operator_every_s": experiment.operator_every_s}, self.folder)
+        each = 250
+        for number in range(0, experiment.watchers, each):
+            name = f"{WATCHERS}{number // each}"
+            self.children[name] = await Child.start(name, "moleworks.rig.real.watching", {
+                "part": str(self.folder / f"{name}.part"), "watchers": min(each, experiment.watchers - number),
+                "readers": 0 if number else experiment.readers, "records": experiment.records,
+                "addresses": [self.through(WATCHERS, target) for target in self.services],
+                "first": number, "seed": f"{experiment.seed} {number}", "without": experiment.without}, self.folder)
+        for name, child in self.children.items():
+            if name not in self.keepers:
+                child.tell("go", epoch=self.clock.epoch)
+
+    async def _truth(self) -> None:
+        """What the store's records of hosts were, from the first revision on."""
+        if not self.services:
+            return
+        async with Client({name: self.at[name] for name in self.all if name in self.processes}, "rig", 8.0) as client:
+            last = (await client.list("reg/", 0)).revision
+            async for events, here in client.watch_all("reg/hosts/", 0):
+                for event in events:
+                    row = None if event.value is None else msgspec.json.decode(event.value)["row"]
+                    self.writer.add(Truth(self.clock.now(), event.revision, event.key.removeprefix("reg/hosts/"),
+                                          None if row is None else [row["lifecycle"], row["hostPort"]]))
+                if here >= last:
+                    return
+
     def tell_links(self, pairs: list[tuple[str, str]], kind: str, begins: bool, forth: bool = True,
                    back: bool = True) -> None:
         """A fault on these ways."""
@@ -150,7 +206,7 @@
         experiment = self.experiment
         try:
             links = [{"source": source, "name": target, "listen": self.block.at(3, 8000 + index),
-                      "target": self.at[target], "announce": False}
+                      "target": self.at.get(target) or self.service_at[target], "announce": False}
                      for (source, target), index in self.ways.items()]
             self.links = await Child.start("links", "moleworks.rig.real.link", {
                 "part": str(self.folder / "links.part"), "links": links, "hubs": [], "seed": experiment.seed},
@@ -161,9 +217,11 @@
             while not await self.leader():
                 await asyncio.sleep(0.02)
             await asyncio.gather(*(self.start_keeper(name) for name in self.keepers))
+            await self._start_list()
             begins = self.clock.now()
             end = begins + int(experiment.duration_s * 1e9)
-            self.writer.add(Begun(0, experiment.seed, self.names, self.keepers, experiment.ttl_ms, end))
+            self.writer.add(Begun(0, experiment.seed, self.names, self.keepers, experiment.ttl_ms, end,
+                                  self.services, experiment.bound_s * 1000, experiment.host_ttl_ms, experiment.records))
             self._tasks.append(asyncio.create_task(self._watch()))
             writing = [asyncio.create_task(self._write(name)) for name in self.writers]
             self._tasks += writing
@@ -175,6 +233,11 @@
             if writing:
                 await asyncio.wait(writing, timeout=6.0)
             await self._calm()
+            if self.services:
+                await asyncio.sleep(SETTLE_S)
+                with contextlib.suppress(Unavailable, Refused, TimeoutError):
+                    async with asyncio.timeout(10.0):
+                        await self._truth()
             for task in writing:
                 if task.done() and not task.cancelled() and task.exception() is not None:
                     raise RuntimeError(f"a writer stumbled: {task.exception()!r}")
--- a/moleworks/rig/real/odd.py
+++ b/moleworks/rig/real/odd.py
@@ -22,6 +22,7 @@
 from moleworks.store.disk import Disk
 from moleworks.store.replica import Replica
 
+from ..store_spec import LIST_ERRORS
 from ..virtual.members import Parts
 from ..virtual.mutants import MUTANTS
 
@@ -35,8 +36,11 @@
 
 def leave_out(name: str) -> Parts:
     """Put a known error into this process's members and holders."""
-    parts = MUTANTS[name] if name else Parts()
-    if name:
+    parts = MUTANTS.get(name, Parts())
+    if name in LIST_ERRORS:
+        from . import odd_list
+        odd_list.leave_out(name)
+    elif name:
         for module, known in ((member, {"Core": parts.core, "State": parts.state,
                                         "Replica": functools.partial(Replica, granter=parts.granter)}),
                               (holder, {"Held": parts.held})):
@@ -54,7 +58,7 @@
     def slow(self: Disk, write: Write) -> None:
         if delay.exists():
             time.sleep(float(delay.read_text() or 0) / 1000)   # before it: what waits is lost with the process
-        if told["without"]:
+        if told["without"] in MUTANTS:
             parts.sync(_Bare(functools.partial(sync, self)), write)   # type: ignore[arg-type]
         else:
             sync(self, write)
--- a/moleworks/rig/real/store_faults.py
+++ b/moleworks/rig/real/store_faults.py
@@ -64,7 +64,7 @@
 
     async def _targets(self, on: str) -> list[str]:
         run = self._run
-        alive = [name for name, process in run.processes.items() if not process.over]
+        alive = [name for name, process in run.processes.items() if not process.over and name in run.all]
         if on == "all":
             return alive
         if on == "holder":
@@ -77,6 +77,11 @@
                         await asyncio.sleep(0.05)
             others = [name for name in alive if name != leader]
             return [leader] if on == "leader" and leader else [self._rng.choice(others or run.names)]
+        if on in ("service", "services"):
+            return run.services if on == "services" else [self._rng.choice(run.services)]
+        if on in ("half", "zone", "hosts"):
+            names = [f"h{number}" for number in range(run.experiment.hosts)]
+            return names if on == "hosts" else names[::3] if on == "zone" else self._rng.sample(names, len(names) // 2)
         return [self._rng.choice(alive or run.names)] if on == "any" else [on]
 
     # ---- Processes ---------------------------------------------------------------------------------------
@@ -85,6 +90,8 @@
         for name in names:
             if name in self._run.keepers:
                 await self._run.start_keeper(name)
+            elif name in self._run.services:
+                await self._run.start_service(name)
             else:
                 await self._run.start_member(name, name not in self._run.names)
 
@@ -137,7 +144,7 @@
         one = names[0]
         others = [name for name in self._run.names if name != one]
         other = fault.to if fault.to in self._run.all else self._rng.choice(others)
-        if one in self._run.keepers:
+        if one in self._run.keepers or one in self._run.services:
             await self._cut_for(fault, [(one, target) for target in self._run.all], True, not fault.one_way)
         else:
             await asyncio.gather(self._cut_for(fault, [(one, other)], True, not fault.one_way),
@@ -168,6 +175,38 @@
                         await reader.read()
                         writer.close()
 
+    # ---- The list ----------------------------------------------------------------------------------------
+
+    async def _lose_beats(self, fault: MemberFault, names: list[str]) -> None:
+        hosts = self._run.children["hosts"]
+        hosts.tell("lose", hosts=names, share=fault.size)
+        await asyncio.sleep(fault.for_s)
+        hosts.tell("lose", hosts=names, share=0.0)
+
+    async def _die(self, fault: MemberFault, names: list[str]) -> None:
+        self._run.children["hosts"].tell("die", hosts=names)
+
+    async def _come(self, fault: MemberFault, names: list[str]) -> None:
+        self._run.children["hosts"].tell("come", hosts=names)
+
+    async def _liar(self, fault: MemberFault, names: list[str]) -> None:
+        """In the place of a service stands one that tells of no hosts at all, in a version beyond all."""
+        async def lie(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+                await reader.readuntil(b"\r\n\r\n")
+                line = b'{"generation":999999999,"reset":true,"instances":[]}\n'
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Registry-Age-Ms: 0\r\n"
+                             b"Content-Length: %d\r\n\r\n%b" % (len(line), line))
+                await writer.drain()
+            writer.close()
+        server = await asyncio.start_server(lie, *self._run.block.at(9, 7000))
+        assert self._run.links is not None
+        ways = [self._run.ways["watchers", name] for name in names]
+        self._run.links.tell("meddle", links=ways, kind="misroute", to=self._run.block.at(9, 7000))
+        await asyncio.sleep(fault.for_s)
+        self._run.links.tell("meddle", links=ways, kind="misroute", to=None)
+        server.close()
+
     # ---- Disks -------------------------------------------------------------------------------------------
 
     async def _slow_disk(self, fault: MemberFault, names: list[str]) -> None:
--- a/moleworks/rig/store_history.py
+++ b/moleworks/rig/store_history.py
@@ -14,6 +14,10 @@
     keepers: list[str]
     ttl: int
     end: int            # of the load
+    services: list[str] = []
+    bound: float = 0.0  # of a list's age, ms
+    host_ttl: float = 0.0
+    records: bool = True
     v: int = 1
 
 
@@ -85,3 +89,63 @@
 
     t: int
     answered: bool
+
+
+# ---- The list ------------------------------------------------------------------------------------------------
+
+
+class Told(Struct, tag_field="e", tag="told"):
+    """A watcher has taken a line; rows are name, lifecycle, address.  `size`: hosts that it has now."""
+
+    t: int
+    w: int
+    gen: int
+    reset: bool
+    rows: list[list[str]]
+    size: int
+
+
+class Refusal(Struct, tag_field="e", tag="refusal"):
+    """A watcher has refused a line."""
+
+    t: int
+    w: int
+    why: str
+
+
+class Read(Struct, tag_field="e", tag="read"):
+    """A whole list was asked for at `t`; `age` in ms as told, or the status less than 0; `end` -1: no answer."""
+
+    t: int
+    end: int
+    w: int
+    gen: int
+    age: int
+    rows: list[list[str]]
+
+
+class Written(Struct, tag_field="e", tag="written"):
+    """The operator's changes, all in one version; `end` -1: no answer, and nobody knows."""
+
+    t: int
+    end: int
+    gen: int
+    status: int
+    changes: list[list[str]]
+
+
+class HostLife(Struct, tag_field="e", tag="host"):
+    """A host's process: start, dead, replaced."""
+
+    t: int
+    who: str
+    what: str
+
+
+class Truth(Struct, tag_field="e", tag="truth"):
+    """What the store's own watch told at the end of the run, from the first revision on; no row: removed."""
+
+    t: int
+    rev: int
+    name: str
+    row: list[str] | None
--- a/moleworks/rig/store_judge.py
+++ b/moleworks/rig/store_judge.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from . import registry_judge
 from .linear import Holding, Op, TooLong, held_twice, linearizable, tokens_broken
 
 FIGURES = ("operations", "unknown", "grants", "acts", "refused", "events", "write_p50_ms", "write_p99_ms",
@@ -120,6 +121,7 @@
     told: list[str] = []
     if not story.all("store"):
         return {"verdict": "broken", "figures": {}, "faults": [], "broken": ["the history has no beginning"]}
+    first = story.all("store")[0]
     undecided = _linear(story, told)
     _watched(story, told)
     _duties(story, told)
@@ -128,7 +130,7 @@
     writes = [line for line in story.all("op") if line["kind"] != "get" and line["end"] >= 0]
     times = [(line["end"] - line["t"]) / 1e6 for line in writes]
     gap, taken, handed = _gaps(story)
-    figures = {
+    figures: dict[str, float] = {
         "operations": len(story.all("op")), "unknown": sum(line["end"] < 0 for line in story.all("op")),
         "grants": len(story.all("grant")), "acts": len(story.all("act")),
         "refused": sum(line["why"] == "token" for line in story.all("act")), "events": len(story.all("event")),
@@ -136,6 +138,8 @@
         "takeover_ms": round(taken, 1), "handover_ms": round(handed, 1),
         "member_ends": sum(line["what"] == "ended" for line in story.all("process")), "undecided": undecided}
     assert set(figures) == set(FIGURES)
+    if first["services"]:
+        figures.update(registry_judge.judge(story.of, told, first["bound"], first["host_ttl"], first["records"]))
     told += [f"{name} is {figures[name]}, must be at least {bound:g}"
              for name, bound in least.items() if figures[name] < bound]
     told += [f"{name} is {figures[name]}, must be at most {bound:g}"
--- a/moleworks/rig/store_spec.py
+++ b/moleworks/rig/store_spec.py
@@ -16,12 +16,18 @@
 SPARES = ("f", "g", "h")
 
 Kind = Literal["kill", "stop", "cut", "alone", "reset", "slow_disk", "full_disk", "old_disk", "empty_disk", "torn_tail",
-               "add", "remove", "transfer", "garbage", "hand_over", "twin"]
+               "add", "remove", "transfer", "garbage", "hand_over", "twin", "lose_beats", "die", "come", "liar"]
 ON_MEMBERS = ("alone", "slow_disk", "full_disk", "old_disk", "empty_disk", "torn_tail", "add", "remove", "transfer",
               "garbage")
+ON_HOSTS = ("lose_beats", "die", "come")
 DRAWN: tuple[Kind, ...] = ("kill", "kill", "stop", "cut", "cut", "alone", "reset", "slow_disk")
 
 
+LIST_ERRORS = ("a change after a change of leader", "the age of a list", "a list without hosts refused",
+               "more silent than the limit doubted")
+"""Safeguards of the list service that can be left out."""
+
+
 class MemberFault(Struct, forbid_unknown_fields=True, omit_defaults=True):
     """Something that goes wrong.  What was killed comes back after `for_s`."""
 
@@ -29,11 +35,13 @@
     at_s: NotNegative
     for_s: NotNegative = 1.0
     on: Annotated[str, Meta(min_length=1, max_length=16)] = "any"
-    """A name, or `leader`, `follower`, `any` (member), `all` (members), `holder` (the keeper that holds the duty)."""
+    """A name, or `leader`, `follower`, `any` (member), `all` (members), `holder` (the keeper that holds the duty),
+    `service` (any), `services` (all); for hosts a name, `half`, `zone` (one) or `hosts` (all)."""
     to: Annotated[str, Meta(max_length=16)] = "any"     # cut, hand_over, transfer: the other end
     one_way: bool = False                               # cut: only what `on` sends
     with_holder: bool = False                           # alone: the holder is on the same side
-    size: NotNegative = 200.0                           # slow_disk: ms a write; full_disk: KiB a file may have
+    size: NotNegative = 200.0                           # slow_disk: ms a write; full_disk: KiB a file may have;
+                                                        # lose_beats: the share
 
 
 class StoreHold(Struct, forbid_unknown_fields=True):
@@ -56,6 +64,14 @@
     pause_ms: Above = 40.0               # a writer's, between its operations, in the mean
     ttl_ms: Annotated[int, Meta(ge=100, le=60_000)] = 700
     tires: Annotated[float, Meta(ge=0, le=1)] = 0.02     # a holder's share of acts after which it just goes away
+    services: Annotated[int, Meta(ge=0, le=5)] = 0       # of the list
+    bound_s: Above = 3.0                                 # of a list's age
+    hosts: Annotated[int, Meta(ge=0, le=2000)] = 0       # that keep themselves in it
+    host_ttl_ms: Annotated[int, Meta(ge=500, le=60_000)] = 3000
+    operator_every_s: Above = 0.1                        # between an operator's changes, in the mean
+    watchers: Annotated[int, Meta(ge=0, le=5000)] = 0
+    readers: Annotated[int, Meta(ge=0, le=100)] = 2
+    records: bool = True                                 # what watchers were told, row by row
     without: str = ""                    # a safeguard that is left out, one of the known errors of `rig histories`
     faults: Annotated[list[MemberFault], Meta(max_length=200)] = []
     drawn: Annotated[int, Meta(ge=0, le=200)] = 0        # faults at random, by the seed, one after the other
@@ -64,18 +80,25 @@
 
 def check(experiment: StoreExperiment, file: str) -> StoreExperiment:
     """What no type says.  Raises ConfigError with all faults."""
+    from .registry_judge import FIGURES as LIST_FIGURES
     from .store_judge import FIGURES
     from .virtual.mutants import MUTANTS
+    services = [f"r{number}" for number in range(experiment.services)]
     names = [*MEMBERS[:experiment.members], *SPARES]
     keepers = [f"d{number}" for number in range(experiment.keepers)]
     told = []
-    if experiment.without and experiment.without not in MUTANTS:
-        told.append(f"without: must be one of: {', '.join(MUTANTS)}")
+    if experiment.without and experiment.without not in (*MUTANTS, *LIST_ERRORS):
+        told.append(f"without: must be one of: {', '.join((*MUTANTS, *LIST_ERRORS))}")
+    figures = (*FIGURES, *(LIST_FIGURES if services else ()))
     for index, fault in enumerate(experiment.faults):
         at = f"faults[{index}]"
         known = ["leader", "follower", "any", "all", *names]
-        if fault.kind not in ON_MEMBERS:
-            known += ["holder", *keepers]
+        if fault.kind in ON_HOSTS:
+            known = ["half", "zone", "hosts", *(f"h{number}" for number in range(experiment.hosts))]
+        elif fault.kind == "liar":
+            known = ["service", *services]
+        elif fault.kind not in ON_MEMBERS:
+            known += ["holder", *keepers, *(["service", "services", *services] if services else [])]
         if fault.on not in known:
             told.append(f"{at}.on: must be one of: {', '.join(known)}")
         if fault.kind in ("add", "remove") and fault.on not in names:
@@ -87,23 +110,29 @@
         if fault.at_s > experiment.duration_s:
             told.append(f"{at}.at_s: is after the end")
     for part, bounds in (("least", experiment.hold.least), ("most", experiment.hold.most)):
-        told += [f"hold.{part}.{name}: no such figure, must be one of: {', '.join(FIGURES)}"
-                 for name in bounds if name not in FIGURES]
+        told += [f"hold.{part}.{name}: no such figure, must be one of: {', '.join(figures)}"
+                 for name in bounds if name not in figures]
     if told:
         raise ConfigError([f"{file}: {line}" for line in told])
     return experiment
 
 
+def _target(rng: random.Random, experiment: StoreExperiment, kind: Kind) -> str:
+    if experiment.services and kind in ("kill", "stop", "cut") and rng.random() < 0.5:
+        return "service"
+    if kind == "kill" and rng.random() < 0.15:
+        return "all"
+    holder = ["holder"] if experiment.keepers and kind in ("kill", "stop") else []
+    return rng.choice(["any", "leader", *holder])
+
+
 def schedule(experiment: StoreExperiment) -> list[MemberFault]:
     """The file's faults and those drawn from the seed, in order of time."""
     rng = random.Random(f"faults {experiment.seed}")
     drawn, at = [], rng.uniform(0.3, 1.0)
     for _ in range(experiment.drawn):
         kind = rng.choice(DRAWN)
-        drawn.append(MemberFault(kind, round(at, 3), round(rng.uniform(0.2, 2.0), 3),
-                                 "all" if kind == "kill" and rng.random() < 0.15
-                                 else rng.choice(["any", "leader", "holder"]) if kind in ("kill", "stop")
-                                 else rng.choice(["any", "leader"]),
+        drawn.append(MemberFault(kind, round(at, 3), round(rng.uniform(0.2, 2.0), 3), _target(rng, experiment, kind),
                                  one_way=rng.random() < 0.5, with_holder=rng.random() < 0.5))
         at += rng.uniform(0.3, 1.6)
     return sorted([*experiment.faults, *(fault for fault in drawn if fault.at_s < experiment.duration_s)],
