Expiry: what the store did not tell is no host's silence; heartbeats go from service to service

Suspects: beats lost with killed services (their hosts would be those of one service: they were not); the new holder counting from before (it begins anew); beats held back by the store's own pause (left only after the stopped leader: confirmed). Change: while the mirror is over 1 s old the expirer decides nothing and begins anew after; a heartbeat tries each service in turn with a twelfth of the lease each, for a service that was stopped held it for 2 s.

--- a/moleworks/registry/expiry.py
+++ b/moleworks/registry/expiry.py
@@ -9,6 +9,10 @@
 from .mirror import Host
 
 
+BLIND = 1_000_000_000
+"""ns: a mirror older than this has missed heartbeats."""
+
+
 class Limits(Struct, frozen=True):
     """Past `share` of a zone's hosts silent at once (and more than `least`) nobody leaves: they are doubtful.
 
@@ -27,9 +31,19 @@
 
     def __init__(self, now: int, hosts: Mapping[str, Host], limits: Limits) -> None:
         self._limits = limits
+        self._blind = False
         self._gone: dict[str, tuple[str, int, int]] = {}     # zone, when, lease
         self._seen: dict[str, int] = {host.session: now for host in hosts.values() if host.session}
 
+    def sees(self, now: int, age: int) -> bool:
+        """Whether the store is heard of; what it did not tell meanwhile is no host's silence, so all begin anew."""
+        if age > BLIND:
+            self._blind = True
+        elif self._blind:
+            self._blind = False
+            self._seen = dict.fromkeys(self._seen, now)
+        return not self._blind
+
     def beat(self, now: int, sessions: Iterable[str]) -> None:
         """Sessions that were renewed, as seen now."""
         for session in sessions:
--- a/moleworks/registry/registration.py
+++ b/moleworks/registry/registration.py
@@ -35,7 +35,7 @@
 
     async def run(self, ends: asyncio.Event) -> None:
         """Register, renew until `ends`, then drain.  Raises Replaced.  `end` takes it out at last."""
-        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=TRY_S)) as http:
+        async with aiohttp.ClientSession() as http:
             await self._until(http, "", {**self._host, "session": self.session, "ttlMs": self.ttl_ms})
             log.info("registered", host=self.name)
             while not ends.is_set():
@@ -48,12 +48,14 @@
 
     async def end(self) -> None:
         """It is out of the list when this returns.  Raises Replaced."""
-        async with aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=TRY_S)) as http:
+        async with aiohttp.ClientSession() as http:
             await self._until(http, "/end", {"session": self.session})
 
     async def _renew(self, http: aiohttp.ClientSession) -> None:
-        """One heartbeat, with the next service if the first does not answer; one that is lost is lost."""
-        status = await self._post(http, "/renew", {"session": self.session})
+        """One heartbeat, with each service in turn until one answers; one that is lost is lost."""
+        status = 0
+        for _ in self._addresses:
+            status = status or await self._post(http, "/renew", {"session": self.session}, self.ttl_ms / 12_000)
         if status == 409:   # expired and taken by another, or expired and not registered anew yet
             await self._until(http, "", {**self._host, "session": self.session, "ttlMs": self.ttl_ms})
 
@@ -70,11 +72,13 @@
             await asyncio.sleep(pause * random.uniform(0.5, 1.5))
             pause = min(2.0, pause * 2)
 
-    async def _post(self, http: aiohttp.ClientSession, act: str, told: dict[str, Any]) -> int:
+    async def _post(self, http: aiohttp.ClientSession, act: str, told: dict[str, Any], wait_s: float = TRY_S) -> int:
         """The answer's status; 0 where there is none."""
+        timeout = aiohttp.ClientTimeout(total=wait_s)
         host, port = self._addresses[0]
         try:
-            async with http.post(f"http://{host}:{port}/registry/hosts/{self.name}{act}", json=told) as answer:
+            async with http.post(f"http://{host}:{port}/registry/hosts/{self.name}{act}", json=told,
+                                 timeout=timeout) as answer:
                 if answer.status in (200, 400, 409, 429):
                     return answer.status
         except (aiohttp.ClientError, OSError, TimeoutError):
--- a/moleworks/registry/service.py
+++ b/moleworks/registry/service.py
@@ -204,9 +204,10 @@
 
     async def _round(self, token: int, holder: Holder) -> None:
         assert self._expiry is not None
-        if self.age_ms() > 2000:        # what it has not heard of may be beats
+        now = time.monotonic_ns()
+        if not self._expiry.sees(now, self.mirror.age(now)):
             return
-        leave, doubtful = self._expiry.decide(time.monotonic_ns(), self.mirror.hosts)
+        leave, doubtful = self._expiry.decide(now, self.mirror.hosts)
         guard = Guard(DUTY, token)
         if doubtful != self.mirror.doubtful and holder.holds():
             if len(doubtful) > len(self.mirror.doubtful):
--- a/moleworks/rig/real/gateway.py
+++ b/moleworks/rig/real/gateway.py
@@ -101,12 +101,7 @@
         """Processor seconds and resident megabytes of the process now."""
         if self.process is None or self.process.over:
             return 0.0, 0.0
-        try:
-            stat = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-        except OSError:
-            return 0.0, 0.0
-        ticks = os.sysconf("SC_CLK_TCK")
-        return ((int(stat[11]) + int(stat[12])) / ticks, int(stat[21]) * os.sysconf("SC_PAGE_SIZE") / 1e6)
+        return self.process.usage()
 
     def lose_folder(self) -> None:
         """Its temporary folder is emptied, as on a machine that came back without its disk."""
--- a/moleworks/rig/real/members.py
+++ b/moleworks/rig/real/members.py
@@ -23,7 +23,7 @@
 from moleworks.store.state import Condition, Put
 
 from .. import history
-from ..store_history import Begun, Calm, Died, Event, Operation, Truth
+from ..store_history import Begun, Calm, Died, Event, Operation, Truth, Usage
 from ..store_judge import judge
 from ..store_spec import MEMBERS, SPARES, StoreExperiment, schedule
 from .child import Clock
@@ -164,6 +164,11 @@
             if name not in self.keepers:
                 child.tell("go", epoch=self.clock.epoch)
 
+    def _usage(self) -> None:
+        for name in self.services:
+            cpu, mb = self.processes[name].usage()
+            self.writer.add(Usage(self.clock.now(), name, cpu, mb))
+
     async def _truth(self) -> None:
         """What the store's records of hosts were, from the first revision on."""
         if not self.services:
@@ -226,7 +231,9 @@
             writing = [asyncio.create_task(self._write(name)) for name in self.writers]
             self._tasks += writing
             faults = Faults(self, self.schedule, begins)
+            self._usage()
             await faults.run(end)
+            self._usage()
             self.over = True
             for child in self.children.values():
                 child.tell("over")
--- a/moleworks/rig/real/procs.py
+++ b/moleworks/rig/real/procs.py
@@ -56,6 +56,15 @@
         """How it ended."""
         return self._process.returncode
 
+    def usage(self) -> tuple[float, float]:
+        """Processor seconds and resident megabytes now; zeros once it is over."""
+        try:
+            stat = Path(f"/proc/{self.pid}/stat").read_text().rpartition(")")[2].split()
+        except OSError:
+            return 0.0, 0.0
+        ticks = os.sysconf("SC_CLK_TCK")
+        return ((int(stat[11]) + int(stat[12])) / ticks, int(stat[21]) * os.sysconf("SC_PAGE_SIZE") / 1e6)
+
     def signal(self, number: int) -> None:
         """To the whole group; nothing if it is over."""
         if not self.over:
--- a/moleworks/rig/registry_judge.py
+++ b/moleworks/rig/registry_judge.py
@@ -8,11 +8,12 @@
 from __future__ import annotations
 
 import bisect
+import itertools
 from collections.abc import Iterable
 from typing import Any
 
 FIGURES = ("versions", "told", "reads", "reads_refused", "writes", "refusals", "spread_p50_ms", "spread_p99_ms",
-           "age_p99_ms", "left", "expired_s", "settle_s")
+           "age_p99_ms", "left", "expired_s", "settle_s", "longest_gap_s", "service_mb", "cpu_ms_a_version")
 
 Rows = dict[str, tuple[str, str]]
 
@@ -133,11 +134,21 @@
                 if at < len(found) and found[0][0] < line["t"]:
                     spread.append((found[at][0] - line["t"]) / 1e6)
     left, expired = _lives(truth, story, told, ttl_ms)
+    load = story["store"][0]["end"]
+    gaps = [other - one for found in versions.values()
+            for one, other in itertools.pairwise(t for t, _ in found if t <= load)]
+    usage: dict[str, list[dict[str, Any]]] = {}
+    for line in story.get("usage", []):
+        usage.setdefault(line["who"], []).append(line)
+    cpu = sum(rows[-1]["cpu"] - rows[0]["cpu"] for rows in usage.values())
     return {"versions": len(truth.versions), "told": len(story.get("told", [])), "reads": len(ages),
             "reads_refused": sum(line["age"] < 0 for line in story.get("read", [])), "writes": len(written),
             "refusals": len(story.get("refusal", [])), "spread_p50_ms": _share(spread, 0.5),
             "spread_p99_ms": _share(spread, 0.99), "age_p99_ms": _share(ages, 0.99), "left": left,
-            "expired_s": round(expired, 2), "settle_s": round(settle, 2)}
+            "expired_s": round(expired, 2), "settle_s": round(settle, 2),
+            "longest_gap_s": round(max(gaps, default=0) / 1e9, 2),
+            "service_mb": round(max((line["mb"] for line in story.get("usage", [])), default=0.0), 1),
+            "cpu_ms_a_version": round(cpu * 1000 / max(1, len(truth.versions)), 2)}
 
 
 def _lives(truth: _Truth, story: dict[str, list[dict[str, Any]]], told: list[str], ttl_ms: float) -> tuple[int, float]:
--- a/moleworks/rig/store_history.py
+++ b/moleworks/rig/store_history.py
@@ -149,3 +149,12 @@
     rev: int
     name: str
     row: list[str] | None
+
+
+class Usage(Struct, tag_field="e", tag="usage"):
+    """What a process of the list service has used so far: processor time, s, and memory now, MB."""
+
+    t: int
+    who: str
+    cpu: float
+    mb: float
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -101,7 +101,10 @@
     assert leave == ["h0"] and doubtful == ["h1", "h3", "h5"]      # two of a zone's eight may go, three are doubted
     expiry.beat(late, ["s3"])
     assert expiry.decide(late, hosts) == (["h0", "h1", "h5"], [])
-    assert Expiry(late, hosts, Limits()).decide(late + SECOND // 2, hosts) == ([], [])
+    anew = Expiry(late, hosts, Limits())
+    assert anew.decide(late + SECOND // 2, hosts) == ([], [])
+    assert anew.sees(late, 0) and not anew.sees(late + 3 * SECOND, 2 * SECOND)      # the store was away meanwhile
+    assert anew.sees(late + 4 * SECOND, 0) and anew.decide(late + 5 * SECOND, hosts) == ([], [])
 
 
 def test_probes_turn_a_host_bad_after_three_failures_but_never_most_of_a_zone() -> None:
