Rig: gateways on the own list while all its services are down, hosts coming and going

Need: what the list service is for is that its absence does not matter; that had no run. `rig outage` plays the same load, restarts and host failures twice, with services and with all of them killed from a tenth of the time on; a gateway is killed meanwhile and starts with nothing but its kept list.

--- a/moleworks/cli/rig.py
+++ b/moleworks/cli/rig.py
@@ -197,6 +197,21 @@
     return 0
 
 
+@group.command()
+@click.option("--hosts", type=click.IntRange(3, 100), default=12, show_default=True)
+@click.option("--rps", type=click.FloatRange(1, 2000), default=120.0, show_default=True)
+@click.option("--seconds", type=click.FloatRange(10, 3600), default=300.0, show_default=True)
+def outage(hosts: int, rps: float, seconds: float) -> int:
+    """Gateways on the own list, with its services and with all of them down.  Exit 1 below 0.99 of what was in time."""
+    from moleworks.rig.real import outage as running
+    rows = running.compare(hosts, rps, seconds)
+    for row in rows:
+        click.echo(json.dumps(row))
+    share = rows[1]["in_time"] / max(1e-9, rows[0]["in_time"])
+    click.echo(f"in time without any service: {share:.4f} of the same run with them")
+    return 0 if share >= 0.99 and rows[1]["first_answer_s"] <= 1.0 else 1
+
+
 @group.command()
 @click.option("--timeouts", type=click.IntRange(0, 9), default=1, show_default=True)
 @click.option("--writes", type=click.IntRange(0, 9), default=2, show_default=True)
--- a/moleworks/registry/expiry.py
+++ b/moleworks/registry/expiry.py
@@ -8,7 +8,6 @@
 
 from .mirror import Host
 
-
 BLIND = 1_000_000_000
 """ns: a mirror older than this has missed heartbeats."""
 
--- a/moleworks/rig/real/endure.py
+++ b/moleworks/rig/real/endure.py
@@ -22,7 +22,7 @@
 KEYS = 1000
 
 
-class _Store:
+class Members:
     """Three members without links."""
 
     def __init__(self, folder: Path) -> None:
@@ -50,7 +50,7 @@
         self.block.close()
 
 
-async def _changes(store: _Store, changes: int, clients: int, tell: Callable[[dict[str, Any]], None]) -> None:
+async def _changes(store: Members, changes: int, clients: int, tell: Callable[[dict[str, Any]], None]) -> None:
     """So many changes of some records by clients that each wait for their answer; memory ten times meanwhile."""
     done = 0
     begun = time.monotonic()
@@ -67,7 +67,7 @@
     await asyncio.gather(*(one(number) for number in range(clients)))
 
 
-async def _back(store: _Store, name: str) -> tuple[float, int, int]:
+async def _back(store: Members, name: str) -> tuple[float, int, int]:
     """Kill a member and start it: seconds until it has all that was committed, the first entry of its log, the last."""
     await store.processes[name].end()
     async with Client({other: at for other, at in store.at.items() if other != name}, "rig") as client:
@@ -88,7 +88,7 @@
 async def endure(changes: int, clients: int, tell: Callable[[dict[str, Any]], None]) -> dict[str, Any]:
     """All of it; `tell` gets a row for each tenth."""
     folder = Path(tempfile.mkdtemp(prefix="moleworks-endure-"))
-    store = _Store(folder)
+    store = Members(folder)
     try:
         for name in NAMES:
             await store.start(name)
