--- a/moleworks/cli/store.py
+++ b/moleworks/cli/store.py
@@ -129,9 +129,10 @@
 @click.option("--clients", type=click.IntRange(1, 5000), default=16, show_default=True)
 @click.option("--seconds", type=click.FloatRange(0, min_open=True), default=5.0, show_default=True)
 @click.option("--size", type=click.IntRange(0, 100_000), default=64, show_default=True, help="Bytes of a value.")
+@click.option("--histogram", type=click.File("wb"), default=None, help="The whole distribution of latencies, ms.")
 @STORE
 @CLUSTER
-def bench(clients: int, seconds: float, size: int, store: str, cluster: str) -> int:
+def bench(clients: int, seconds: float, size: int, histogram: Any, store: str, cluster: str) -> int:
     """Writes a second, and their latencies, with so many clients that each wait for their answer."""
     import time
 
@@ -139,7 +140,7 @@
 
     from moleworks.store.client import Client
     from moleworks.store.state import Put
-    histogram = HdrHistogram(1, 60_000_000, 3)
+    latency = HdrHistogram(1, 60_000_000, 3)
 
     async def one(number: int, ends: float) -> None:
         async with Client(asked_members(store), cluster) as client:
@@ -147,15 +148,17 @@
             while time.monotonic() < ends:
                 begun = time.monotonic()
                 await client.change((Put(f"bench/{number}", bytes(size)),))
-                histogram.record_value(max(1, int((time.monotonic() - begun) * 1e6)))
+                latency.record_value(max(1, int((time.monotonic() - begun) * 1e6)))
 
     async def all_(_: Any) -> int:
         ends = time.monotonic() + seconds
         await asyncio.gather(*(one(number, ends) for number in range(clients)))
-        values = {f"p{percent:g}_ms": histogram.get_value_at_percentile(percent) / 1000
+        values = {f"p{percent:g}_ms": latency.get_value_at_percentile(percent) / 1000
                   for percent in (50, 90, 99, 99.9)}
-        click.echo(f"clients={clients} writes={histogram.total_count} per_s={histogram.total_count / seconds:.0f} "
+        click.echo(f"clients={clients} writes={latency.total_count} per_s={latency.total_count / seconds:.0f} "
                    + " ".join(f"{name}={value:g}" for name, value in values.items()))
+        if histogram is not None:
+            latency.output_percentile_distribution(histogram, 1000.0)
         return 0
     return ask(store, cluster, seconds + 30, all_)
 
