A service that does not hear of the store takes no heartbeats

Suspects: the expirer counting while blind (its service was not the one cut off), beats lost on links (the hosts' own were not cut), beats that a cut-off service takes and can't pass on for 5 s with a lease of 3 s: those hosts never asked another one, as they had their 200. Confirmed by the hosts being of one service. It answers 503 once it has heard nothing for 1.5 s, and a heartbeat goes to the next service at once.

--- a/moleworks/registry/http.py
+++ b/moleworks/registry/http.py
@@ -29,6 +29,8 @@
 JOINING, JOINS = 32, 2000
 """Whole lists on their way at once, and calls that may wait for their turn; beyond that 503 and Retry-After."""
 BODY = 256 * 1024
+BEATS_MS = 1500.0
+"""A service that has heard nothing of the store for so long takes no heartbeats: they would come too late there."""
 WRITE_S = 10.0
 """A reader that takes nothing for so long is dropped."""
 AGAIN_S = 1.0
@@ -229,6 +231,8 @@
         told: Own = await self._body(request, Own)
         name, act = request.match_info["name"], request.match_info["act"]
         if act == "renew":
+            if self.service.age_ms() > BEATS_MS:
+                return self._busy("the store is not heard of")      # the host goes to another service
             try:
                 if self.service.renew(name, told.session):
                     return web.json_response({"generation": self.service.mirror.generation})
