Expiry: a zone's share is of the hosts that registered, not of those an operator has put

Suspects: the count of those falling silent (right, by its test), beats that still came (the loss is total), the zone's size: the operator's 25 hosts there, which never fall silent, made the quarter eight.

--- a/moleworks/registry/expiry.py
+++ b/moleworks/registry/expiry.py
@@ -13,7 +13,7 @@
 
 
 class Limits(Struct, frozen=True):
-    """Past `share` of a zone's hosts silent at once (and more than `least`) nobody leaves: they are doubtful.
+    """Past `share` of a zone's registered hosts silent at once (and more than `least`) nobody leaves: they are doubted.
 
     At once: for half of their lease, or gone within one.  Else a zone whose beats are all lost would leave by twos.
 
@@ -60,9 +60,9 @@
                 falling.setdefault(zone, set()).add(name)
         current = set()
         for name, host in hosts.items():
-            zones[host.row.zone] = zones.get(host.row.zone, 0) + 1
             if not host.session:
                 continue
+            zones[host.row.zone] = zones.get(host.row.zone, 0) + 1     # of those that can fall silent
             current.add(host.session)
             quiet, ttl = now - self._seen.setdefault(host.session, now), host.ttl_ms * 1_000_000
             if quiet > ttl // 2:
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -93,7 +93,7 @@
 
 def test_silent_hosts_leave_but_not_too_many_at_once_and_nobody_counts_from_before() -> None:
     hosts = {f"h{index}": host(f"h{index}", session=f"s{index}", zone="ab"[index % 2]) for index in range(16)}
-    hosts["fixed"] = host("fixed")
+    hosts.update({f"fixed{index}": host(f"fixed{index}", zone="b") for index in range(40)})   # they can't fall silent
     expiry = Expiry(0, hosts, Limits())
     late = int(1.5 * SECOND)
     expiry.beat(SECOND, [f"s{index}" for index in range(16) if index not in (0, 1, 3, 5)])
