Expiry: after a doubt a zone's last silent hosts have a whole lease to come back

Suspects: half-lease silence counted too late (then it would be at its start), the last to come back: as the others were heard again the silent fell under the limit.

--- a/moleworks/registry/expiry.py
+++ b/moleworks/registry/expiry.py
@@ -31,6 +31,7 @@
     def __init__(self, now: int, hosts: Mapping[str, Host], limits: Limits) -> None:
         self._limits = limits
         self._blind = False
+        self._doubted: dict[str, int] = {}     # zones, when they last were
         self._gone: dict[str, tuple[str, int, int]] = {}     # zone, when, lease
         self._seen: dict[str, int] = {host.session: now for host in hosts.values() if host.session}
 
@@ -76,9 +77,13 @@
         for zone, names in silent.items():
             most = max(self._limits.least, int(zones[zone] * self._limits.share))
             if len(falling[zone]) > most:
+                self._doubted[zone] = now
                 doubtful += names
                 continue
-            leave += names
-            for name in names:
+            for name in names:     # where many come back, the last of them are not dead yet
+                if now - self._doubted.get(zone, -(1 << 62)) <= hosts[name].ttl_ms * 1_000_000:
+                    doubtful.append(name)
+                    continue
+                leave.append(name)
                 self._gone.setdefault(name, (zone, now, hosts[name].ttl_ms * 1_000_000))
         return leave, sorted(doubtful)
