A session is drawn where it is used; dead counter, unused arguments and twin branches out

Read once more: a host's client imported the service's HTTP side for one line of it, the gateway's failover counted what nobody read, a judge took a lease that it did not use, the rig worded a member's peers and a watcher's line twice.

--- a/gateway/failover.py
+++ b/gateway/failover.py
@@ -103,7 +103,6 @@
         self._thread = ThreadPoolExecutor(1, "list") if kept is not None else None
         self._writing = False
         self._touched = 0
-        self.refused = 0
 
     # ---- What is told ------------------------------------------------------------------------------------
 
@@ -157,7 +156,6 @@
         if not failed:
             super().ended(call, why, failed)
             return
-        self.refused += why.startswith("a list")
         self._address = self._all[(self._all.index(self._address) + 1) % len(self._all)]
         self.authority = f"{self._address[0]}:{self._address[1]}"
         self._failed += 1
--- a/moleworks/registry/http.py
+++ b/moleworks/registry/http.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import secrets
 import time
 from collections import OrderedDict
 from collections.abc import Awaitable
@@ -242,11 +241,6 @@
         return await self._answer(self.service.alter(name, told.session, DRAINING if act == "drain" else GONE))
 
 
-def new_session() -> str:
-    """A session's name, drawn by the host that begins it."""
-    return secrets.token_hex(8)
-
-
 async def serve(http: Http, listen: tuple[str, int], ready: Any = None) -> None:
     """Until cancelled."""
     runner = web.AppRunner(http.app, access_log=None, handler_cancellation=True, shutdown_timeout=0.2)
--- a/moleworks/registry/registration.py
+++ b/moleworks/registry/registration.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import secrets
 from collections.abc import Sequence
 from typing import Any
 
@@ -11,8 +12,6 @@
 
 from moleworks import logs
 
-from .http import new_session
-
 log = logs.get("registry.registration")
 
 TRY_S = 2.0
@@ -31,7 +30,7 @@
         self._addresses = list(addresses)
         random.shuffle(self._addresses)
         self.name, self._host, self.ttl_ms = name, host, ttl_ms
-        self.session = new_session()
+        self.session = secrets.token_hex(8)
 
     async def run(self, ends: asyncio.Event) -> None:
         """Register, renew until `ends`, then drain.  Raises Replaced.  `end` takes it out at last."""
--- a/moleworks/rig/real/members.py
+++ b/moleworks/rig/real/members.py
@@ -83,9 +83,7 @@
 
     async def start_member(self, name: str, joins: bool = False) -> None:
         """A member's process; its peers are reached through links."""
-        peers = {other: self.at[name] if other == name else self.through(name, other)
-                 for other in (self.names if not joins and name in self.names else [])}
-        peers.update({other: self.through(name, other) for other in self.all if other != name})
+        peers = {other: self.at[name] if other == name else self.through(name, other) for other in self.all}
         told = ",".join("{}={}:{}".format(peer, *where) for peer, where in peers.items())
         first = [] if joins or name not in self.names else ["--first", ",".join(self.names)]
         odd = {"delay": str(self.folder / f"{name}.delay"), "without": self.experiment.without}
--- a/moleworks/rig/real/watching.py
+++ b/moleworks/rig/real/watching.py
@@ -32,12 +32,8 @@
         except Wrong as error:
             part.writer.add(Refusal(part.clock.now(), self._number, str(error)))
             raise
-        if part.records:
-            part.writer.add(Told(part.clock.now(), self._number, line.generation, line.reset,
-                                 [[row.instance_id, row.lifecycle, row.host_port] for row in line.instances],
-                                 len(self.rows)))
-        else:
-            part.writer.add(Told(part.clock.now(), self._number, line.generation, line.reset, [], len(self.rows)))
+        rows = [[row.instance_id, row.lifecycle, row.host_port] for row in line.instances] if part.records else []
+        part.writer.add(Told(part.clock.now(), self._number, line.generation, line.reset, rows, len(self.rows)))
         return line
 
 
--- a/moleworks/rig/registry_judge.py
+++ b/moleworks/rig/registry_judge.py
@@ -98,7 +98,7 @@
     return ages
 
 
-def judge(story: dict[str, list[dict[str, Any]]], told: list[str], bound_ms: float, ttl_ms: float,
+def judge(story: dict[str, list[dict[str, Any]]], told: list[str], bound_ms: float,
           records: bool) -> dict[str, float]:
     """Adds what is broken to `told`; returns figures."""
     truth = _Truth(story.get("truth", []))
@@ -133,7 +133,7 @@
                 at = bisect.bisect_left([gen for _, gen in found], line["gen"])
                 if at < len(found) and found[0][0] < line["t"]:
                     spread.append((found[at][0] - line["t"]) / 1e6)
-    left, expired = _lives(truth, story, told, ttl_ms)
+    left, expired = _lives(truth, story, told)
     load = story["store"][0]["end"]
     gaps = [other - one for found in versions.values()
             for one, other in itertools.pairwise(t for t, _ in found if t <= load)]
@@ -151,7 +151,7 @@
             "cpu_ms_a_version": round(cpu * 1000 / max(1, len(truth.versions)), 2)}
 
 
-def _lives(truth: _Truth, story: dict[str, list[dict[str, Any]]], told: list[str], ttl_ms: float) -> tuple[int, float]:
+def _lives(truth: _Truth, story: dict[str, list[dict[str, Any]]], told: list[str]) -> tuple[int, float]:
     """Hosts that left though they lived, and how long a dead one stayed: watchers' clocks tell when."""
     dead = {line["who"]: line["t"] for line in story.get("host", []) if line["what"] == "dead"}
     first: dict[int, int] = {}
--- a/moleworks/rig/store_judge.py
+++ b/moleworks/rig/store_judge.py
@@ -139,7 +139,7 @@
         "member_ends": sum(line["what"] == "ended" for line in story.all("process")), "undecided": undecided}
     assert set(figures) == set(FIGURES)
     if first["services"]:
-        figures.update(registry_judge.judge(story.of, told, first["bound"], first["host_ttl"], first["records"]))
+        figures.update(registry_judge.judge(story.of, told, first["bound"], first["records"]))
     told += [f"{name} is {figures[name]}, must be at least {bound:g}"
              for name, bound in least.items() if figures[name] < bound]
     told += [f"{name} is {figures[name]}, must be at most {bound:g}"
