Repeats: a copy that can't reach its host within the window for repeats is never written

Suspects: (1) a connection that comes up late, (2) an anchor that is forgotten after an outcome which says never ran, (3) the wrong group. Lines at fault: decide.py `_may_send` judged the moment of sending alone, upstream.py `connection_made` wrote whatever was not past its time-out. Change: the module says with each such copy how long it may take to be written whole (`begin_ns`); past that it could not connect, as it never ran.

--- a/bridgesaddle/api.py
+++ b/bridgesaddle/api.py
@@ -255,8 +255,11 @@
 class Actions(Protocol):
     """What a balancer may ask of its gateway.  Calls take effect in the order made."""
 
-    def send(self, rid: int, host: HostId, timeout_ns: int) -> None:
-        """Start an attempt; attempts of a request count from 0.  A time-out of 0: until the deadline."""
+    def send(self, rid: int, host: HostId, timeout_ns: int, begin_ns: int = 0) -> None:
+        """Start an attempt; attempts of a request count from 0.  A time-out of 0: until the deadline.
+
+        Its last byte has to be written within `begin_ns`, or it could not connect; 0: within its time-out.
+        """
 
     def fail(self, rid: int) -> None:
         """Final answer: failed, with no promise about the effect."""
--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -656,6 +656,15 @@
                     return False
         return server.cold_until <= now or self._cold_room(server, now)
 
+    def _begin_within(self, request: _Request, now: int) -> int:
+        """How late a copy of what may have run may still reach its host: 0 for what is no such copy.
+
+        Guards against connections that come up late: sent within the window, it would be begun past it.
+        """
+        if request.anchor_at == now or request.anchor is None or request.cls.effect is not Effect.KEYED:
+            return 0
+        return request.anchor_at + request.cls.window - self._set.tick_ns - now
+
     def _may_refuse(self, request: _Request) -> bool:
         """Whether the client may be told that trying again is harmless."""
         cls = request.cls
@@ -683,7 +692,8 @@
         if server.cold_until > now:
             server.cold_credit -= 1.0
         timer = self._timer(request, now)
-        self._act.send(request.rid, server.host, timer or request.deadline - now)
+        self._act.send(request.rid, server.host, timer or request.deadline - now,
+                       self._begin_within(request, now))
         if not timer and request.deadline - now > request.t1:
             self._wake(attempt, request.t1)
 
--- a/bridgesaddle/wire.py
+++ b/bridgesaddle/wire.py
@@ -199,7 +199,7 @@
         self._who = who
         self._add = reply.add
 
-    def send(self, rid: int, host: HostId, timeout_ns: int) -> None:
+    def send(self, rid: int, host: HostId, timeout_ns: int, begin_ns: int = 0) -> None:
         self._add(_O_SEND.pack(1, self._who, rid, host, timeout_ns))
 
     def fail(self, rid: int) -> None:
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -349,7 +349,7 @@
 
     # ---- Actions -----------------------------------------------------------------------------------
 
-    def send(self, rid: int, host: HostId, timeout_ns: int) -> None:
+    def send(self, rid: int, host: HostId, timeout_ns: int, begin_ns: int = 0) -> None:
         """Start an attempt."""
         request = self._requests.get(rid)
         if request is None:
@@ -360,7 +360,8 @@
         due = min(self._now + timeout_ns, request.deadline) if timeout_ns else request.deadline
         attempt = Attempt(host, number, request.payload, self._now, due,
                           lambda attempt, outcome, answer: self._ended(request, attempt, outcome, answer),
-                          receiver=_Receiver(self, request), body=request.body)
+                          receiver=_Receiver(self, request), body=request.body,
+                          begin_by=self._now + begin_ns if begin_ns else FAR)
         request.out[number] = attempt
         if request.exchange is None or request.closing or number >= request.most \
                 or (request.body is not None and request.body.bound):
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -71,13 +71,14 @@
     `ended` is called once, with the answer if it was served whole.  A long answer goes to `receiver` first.
     """
 
-    __slots__ = ("begun", "body", "conn", "due", "ended", "host", "load", "number", "over", "payload",
+    __slots__ = ("begin_by", "begun", "body", "conn", "due", "ended", "host", "load", "number", "over", "payload",
                  "probe", "receiver", "started")
 
     def __init__(self, host: HostId, number: int, payload: tuple[bytes, bytes], started: int, due: int,
                  ended: Callable[[Attempt, Outcome, Answer | None], None], probe: bool = False,
-                 receiver: Receiver | None = None, body: Body | None = None) -> None:
+                 receiver: Receiver | None = None, body: Body | None = None, begin_by: int = 1 << 62) -> None:
         self.host = host
+        self.begin_by = begin_by   # its last byte is written by then, or never
         self.probe = probe
         self.receiver = receiver
         self.body = body     # where it is still coming
@@ -101,6 +102,10 @@
         if self.conn is not None:
             self.conn.pause(wanted)
 
+    def written(self) -> bool:
+        """Whether the request's last byte is on the socket."""
+        return self.conn is not None and self.conn.written()
+
     def end(self, outcome: Outcome, answer: Answer | None = None) -> None:
         """Report the outcome, once."""
         if not self.over:
@@ -167,7 +172,7 @@
         self.transport.set_write_buffer_limits(high=0)   # pause_writing: a part is not yet written
         attempt = self.attempt
         if attempt is None or attempt.over or self.incarnation != self.host.incarnation \
-                or not self.host.ready or now_ns() >= attempt.due:
+                or not self.host.ready or now_ns() >= min(attempt.due, attempt.begin_by):
             self.give_up(Outcome.CONNECT_FAILED)
         else:
             self._write(attempt)
@@ -494,6 +499,8 @@
 
     def start(self, attempt: Attempt) -> None:
         """Send an attempt on the newest idle connection, or on a new one once that is up."""
+        if attempt.begin_by < attempt.due:
+            self.timers.at(attempt.begin_by, self._too_late, attempt)
         host = self._hosts.get(attempt.host)
         if host is None or not host.ready:
             attempt.end(Outcome.CONNECT_FAILED)
@@ -532,8 +539,12 @@
         """The attempt's time is up.  It has timed out if it was sent, else it never ran."""
         if attempt.begun or (attempt.conn is not None and attempt.conn.commit()):
             return   # the host still gives: nothing of a long answer is cut
-        written = attempt.conn is not None and attempt.conn.written()
-        self._stop(attempt, Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED)
+        self._stop(attempt, Outcome.TIMEOUT if attempt.written() else Outcome.CONNECT_FAILED)
+
+    def _too_late(self, attempt: Attempt) -> None:
+        """A copy of which the last byte is not written by now would be begun past the window for repeats."""
+        if not attempt.over and not attempt.written():
+            self._stop(attempt, Outcome.CONNECT_FAILED)
 
     def _stop(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.conn is not None:
--- a/moleworks/rig/virtual/gateway.py
+++ b/moleworks/rig/virtual/gateway.py
@@ -212,7 +212,7 @@
 
     # ---- Actions of api.py --------------------------------------------------------------------------
 
-    def send(self, rid: int, host: HostId, timeout_ns: int) -> None:
+    def send(self, rid: int, host: HostId, timeout_ns: int, begin_ns: int = 0) -> None:
         request = self._requests.get(rid)
         if request is None:
             return
