Idle connections to hosts: none is chosen on which an end or bytes wait unread

Cause: upstream.py `start` took the newest idle connection by what the loop had read of it. An end or bytes that the kernel held already were seen only after the next request had been written: an end made it a reset ("may have run", so an unsafe request, or a keyed one past its window, failed that had surely never run), bytes were taken for its answer.

--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -17,6 +17,7 @@
 
 from .body import PIECE, Body, Room
 from .discovery import Listed
+from .kernel import waiting
 from .stats import Stats
 from .timers import Timers, now_ns
 
@@ -177,6 +178,10 @@
         else:
             self._write(attempt)
 
+    def fresh(self) -> bool:
+        """Guards against an end or bytes that wait unread: the next request would get them for its answer."""
+        return self.transport is not None and not self.transport.is_closing() and not waiting(self.transport)
+
     def send(self, attempt: Attempt) -> None:
         """Write an attempt to a connection that stood idle."""
         self._reset()
@@ -507,9 +512,10 @@
             return
         while host.idle:
             conn = host.idle.pop()
-            if conn.transport is not None and not conn.transport.is_closing():
+            if conn.fresh():
                 conn.send(attempt)
                 return
+            conn.close()
         if len(self._open) >= self.max_open and not self._evict():
             log.warning("no room for a connection: %d open", len(self._open))
             attempt.end(Outcome.CONNECT_FAILED)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -10,7 +10,7 @@
 from bridgesaddle.api import MS, SECOND, Outcome
 from gateway.timers import now_ns
 from gateway.upstream import Attempt
-from tests.sockets import play
+from tests.sockets import OK, play
 from tests.test_upstream import HEAD, Bench, silent_listener
 
 # ---- Repeats ------------------------------------------------------------------------------------------------
@@ -62,3 +62,32 @@
             with conn:
                 assert await ended is Outcome.CONNECT_FAILED
     play(scene)
+
+
+# ---- Idle connections to hosts ------------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("left", [b"", OK])
+def test_an_idle_connection_on_which_an_end_or_bytes_wait_unread_is_not_chosen(left: bytes) -> None:
+    async def scene() -> None:
+        bench, loop = Bench(), asyncio.get_running_loop()
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            bench.tell(f"127.0.0.1:{listener.getsockname()[1]}")
+            _, result = bench.start()
+            first, _ = await loop.sock_accept(listener)
+            with first:
+                assert await loop.sock_recv(first, 1000)
+                first.send(OK)
+                assert (await result)[0] is Outcome.OK
+                first.send(left) if left else first.shutdown(socket.SHUT_WR)
+                _, result = bench.start()   # before the loop has turned: nobody has read it
+                second, _ = await loop.sock_accept(listener)
+                with second:
+                    assert await loop.sock_recv(second, 1000)
+                    second.send(OK.replace(b"done", b"mine"))
+                    outcome, answer = await result
+                    assert (outcome, answer and answer.body) == (Outcome.OK, b"mine")
+    play(scene)
