A connection to a host rests 10 ms after its answer: a second answer is not taken for the next one's

Line at fault: upstream.py `start` used a connection again in the moment it came back, newest first. Change: the newest connection that has rested is used, else a new one; what comes meanwhile closes the connection, as before. Tests that asked for use at once wait until the rest is over. The new scene fails without the change (it was served `done` for `mine`), seen.

--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -36,6 +36,11 @@
 IDLE_PART = 0.6
 """Part of the host's idle time-out for which a connection is kept: well before the host closes it."""
 IDLE_DEFAULT = 10 * SECOND
+REST = 10 * MS
+"""For so long after its answer a connection is not used again.
+
+A broken host may answer twice, the second time some milliseconds late: that would be taken for the next answer.
+"""
 KEPT_PER_HOST = 16
 """Idle connections kept to one host."""
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -503,19 +508,21 @@
         return len(self._hosts)
 
     def start(self, attempt: Attempt) -> None:
-        """Send an attempt on the newest idle connection, or on a new one once that is up."""
+        """Send an attempt on the newest idle connection that has rested, or on a new one once that is up."""
         if attempt.begin_by < attempt.due:
             self.timers.at(attempt.begin_by, self._too_late, attempt)
         host = self._hosts.get(attempt.host)
         if host is None or not host.ready:
             attempt.end(Outcome.CONNECT_FAILED)
             return
-        while host.idle:
-            conn = host.idle.pop()
-            if conn.fresh():
-                conn.send(attempt)
-                return
-            conn.close()
+        rested = now_ns() - REST
+        for at in range(len(host.idle) - 1, -1, -1):
+            if host.idle[at].idle_at <= rested:
+                conn = host.idle.pop(at)
+                if conn.fresh():
+                    conn.send(attempt)
+                    return
+                conn.close()
         if len(self._open) >= self.max_open and not self._evict():
             log.warning("no room for a connection: %d open", len(self._open))
             attempt.end(Outcome.CONNECT_FAILED)
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -17,6 +17,8 @@
 from bridgesaddle import Balancer
 from gateway.core import Maker
 from gateway.program import Config, Gateway
+from gateway.timers import now_ns
+from gateway.upstream import REST
 
 LIMIT_S = 20.0
 """No test waits longer than this for an event that does not come."""
@@ -226,3 +228,9 @@
     """Let the loop turn until this holds; the scene's bound ends a wait in vain."""
     while not ready():
         await (step() if step is not None else asyncio.sleep(0))
+
+
+async def rested() -> None:
+    """Until a connection to a host that has just given its answer may be used again."""
+    over = now_ns() + REST
+    await until(lambda: now_ns() > over)
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -13,7 +13,7 @@
 from gateway.program import SWEEP
 from gateway.server import ARRIVE
 from gateway.timers import now_ns
-from tests.sockets import OK, Client, FakeHost, Stage, play, request, until
+from tests.sockets import OK, Client, FakeHost, Stage, play, request, rested, until
 from tests.test_operations import HEALTH, OPERATOR, figures
 from tests.test_server import Sends
 
@@ -62,6 +62,7 @@
                 assert (await client.ask(request("keyed", rid=f"r{number}", body=LONG)))[0] == 200
                 seen = await host.seen.get()
                 assert (seen.body, seen.headers["content-length"]) == (LONG, str(len(LONG)))
+                await rested()
             assert host.connections == 1
             told = await figures(stage)
             assert (told["upstream_requests"], told["downstream_requests.keyed.completed"]) == (2, 2)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -10,7 +10,7 @@
 from bridgesaddle.api import MS, SECOND, Outcome
 from gateway.timers import now_ns
 from gateway.upstream import Attempt
-from tests.sockets import OK, play
+from tests.sockets import OK, play, rested
 from tests.test_upstream import HEAD, Bench, silent_listener
 
 # ---- Repeats ------------------------------------------------------------------------------------------------
@@ -82,6 +82,7 @@
                 assert await loop.sock_recv(first, 1000)
                 first.send(OK)
                 assert (await result)[0] is Outcome.OK
+                await rested()
                 first.send(left) if left else first.shutdown(socket.SHUT_WR)
                 _, result = bench.start()   # before the loop has turned: nobody has read it
                 second, _ = await loop.sock_accept(listener)
@@ -91,3 +92,36 @@
                     outcome, answer = await result
                     assert (outcome, answer and answer.body) == (Outcome.OK, b"mine")
     play(scene)
+
+
+def test_a_second_answer_that_comes_late_is_not_taken_for_the_answer_to_the_next_request() -> None:
+    async def scene() -> None:
+        bench, loop = Bench(), asyncio.get_running_loop()
+        with socket.socket() as listener:
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            bench.tell(f"127.0.0.1:{listener.getsockname()[1]}")
+            _, result = bench.start()
+            first, _ = await loop.sock_accept(listener)
+            with first:
+                assert await loop.sock_recv(first, 1000)
+                first.send(OK)
+                assert (await result)[0] is Outcome.OK
+                _, result = bench.start()
+                accepted = loop.create_task(loop.sock_accept(listener))
+                asked = loop.create_task(loop.sock_recv(first, 1000))   # on either, a request must have been written
+                await asyncio.wait((accepted, asked), return_when=asyncio.FIRST_COMPLETED)
+                first.send(OK)   # once more, for the first request
+                if asked.done() and asked.result():
+                    first.send(OK.replace(b"done", b"mine"))
+                    accepted.cancel()
+                else:
+                    second = (await accepted)[0]
+                    assert await loop.sock_recv(second, 1000)
+                    second.send(OK.replace(b"done", b"mine"))
+                outcome, answer = await result
+                assert (outcome, answer and answer.body) == (Outcome.OK, b"mine")
+                assert await asked == b""   # the connection that has answered twice is closed
+                second.close()
+    play(scene)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -15,7 +15,7 @@
 from gateway.server import IDLE, ClientConnection
 from gateway.timers import now_ns
 from gateway.upstream import Connection
-from tests.sockets import OK, SETTINGS, FakeHost, Stage, play, request, until
+from tests.sockets import OK, SETTINGS, FakeHost, Stage, play, request, rested, until
 
 STALL = 900 * MS
 """A busy machine may stand still for so long: the verdict must not depend on it."""
@@ -267,6 +267,7 @@
             assert (await second.ask(request()))[0] == 400
             seen.reply()
             assert (await first.answer())[0] == 200
+            await rested()
             second.send(request())
             assert (await seen.reader.readline()).startswith(b"GET ")   # once it is over, it may come again
     play(scene)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -13,7 +13,7 @@
 from gateway.stats import Stats
 from gateway.timers import Timers, now_ns
 from gateway.upstream import MAX_HEAD, Answer, Attempt, Upstream
-from tests.sockets import OK, FakeHost, Stage, play, request
+from tests.sockets import OK, FakeHost, Stage, play, request, rested
 
 HEAD = b"GET /read/x HTTP/1.1\r\nX-Request-ID: r1\r\n"
 TURNED_AWAY = b"Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -69,6 +69,7 @@
             client = await stage.client()
             for number in range(3):
                 assert (await client.ask(request(rid=f"r{number}")))[::2] == (200, b"done")
+                await rested()
             assert host.connections == 1
     play(scene)
 
@@ -247,6 +248,7 @@
         for item, result in zip(seen, results, strict=True):
             item.reply()
             assert (await result)[0] is Outcome.OK
+        await rested()
         bench.upstream.sweep(now_ns() + 8 * SECOND)
         third, result = bench.start()
         assert (await seen[1].reader.readline()).startswith(b"GET ")   # on the one that came back last
