Clients that leave: seen also while nothing is read from them, or while a connection comes up

Suspects: (1) an end that is not read while reading is paused, (2) an attempt whose connection is still coming up when the client ends its sending, (3) a retry that waits for its gap. 3 is ruled out by reading and by an older test: `on_half_closed` gives up what has nothing out. 1 and 2 are forced in test_races.py. Lines at fault: server.py `steer` (paused reading shows no end), core.py `on_half_closed` (an attempt that is out counted as sent). Change: connections that are not read are asked about every 0.1 s; an attempt whose connection is not up 0.2 s after its client's end is taken back; requests read behind an end are answered as failed, unsent.

--- a/gateway/core.py
+++ b/gateway/core.py
@@ -32,6 +32,8 @@
 """
 LAST_CALL = 3 * MS
 """So long before the client's time is up, the gateway answers by itself if the module has not."""
+LEAVING = 200 * MS
+"""So long after its client has ended its sending a request may still reach a host: it is not sent on after 0.3 s."""
 FAR = 1 << 62
 """The time of what has no deadline."""
 MAX_OPEN = 1024
@@ -284,6 +286,14 @@
         request.closing = True
         if not request.out and not request.streamed:
             self._give_up(request)
+        elif not all(attempt.connected() for attempt in request.out.values()):
+            self._timers.after(LEAVING, self._unreached, request)
+
+    def _unreached(self, request: Request) -> None:
+        """Guards against connections that come up late for a client that has gone by then."""
+        for attempt in list(request.out.values()):
+            if not attempt.connected():
+                self.upstream.cancel(attempt)
 
     def held(self) -> list[Request]:
         """Requests in the table: those owed an answer, and those with attempts still out."""
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -178,7 +178,7 @@
             self.discovery = Discovery(loop, self.timers, config.discovery, lines, not settings.ask_discovery,
                                        self._on_list)
         self.core.attach(self.upstream, self.discovery)
-        self.server = Server(self.core, settings, clients, self.stats, self.room)
+        self.server = Server(self.core, self.timers, settings, clients, self.stats, self.room)
         self.admin = Admin({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars,
                             ("POST", "/_lameduck/on"): lambda: self._drain(True),
                             ("POST", "/_lameduck/off"): lambda: self._drain(False)})
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -16,8 +16,9 @@
 
 from .body import PIECE, Body, Room
 from .core import Core, Request
+from .kernel import BROKEN, LEFT, waiting
 from .stats import Stats
-from .timers import now_ns
+from .timers import Timers, now_ns
 from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, MAX_LONG, STALL, Answer, Attempt, Header
 
 log = logging.getLogger("gateway.server")
@@ -38,6 +39,8 @@
 """After so long a body has to come at this rate, bytes a second: half of what a slow client makes."""
 SPARE = 16
 """Connections above the bound that are still told, by a refusal, that there is no room."""
+UNREAD = 100 * MS
+"""So often it is asked whether a client has gone whose connection is not read."""
 IDLE = 90 * SECOND
 DRAIN_IDLE = 2 * SECOND
 """A drained connection is closed after so long between requests: sooner, the close would cross requests."""
@@ -286,7 +289,8 @@
         self._exchanges: deque[Exchange] = deque()
         self._error: BadRequest | None = None
         self.deaf = False       # framing is lost or the last request is in: what comes is thrown away
-        self._ended = False      # the client has ended its sending
+        self._ended = False      # the client has ended its sending, and all of it is read
+        self.leaving = False        # it has ended its sending, whether or not all of it is read
         self._paused = False
         self.since = now_ns()    # when what is being waited for began
         self._asked = False      # a whole request has come
@@ -390,11 +394,31 @@
         if wanted and not self._paused:
             self._paused_at = now_ns()
             transport.pause_reading()
+            self.server.paused(self)
         elif self._paused and not wanted:
             self._body_since += now_ns() - self._paused_at
             transport.resume_reading()
         self._paused = wanted
 
+    def look_unread(self) -> bool:
+        """While nothing is read an end stays unseen: it is asked for.  False once there is nothing more to look for."""
+        transport = self.transport
+        if not self._paused or self.leaving or transport is None or transport.is_closing():
+            return False
+        events = waiting(transport)
+        if events & BROKEN:
+            transport.abort()
+        elif events & LEFT:
+            self._leave()
+        return not events & LEFT
+
+    def _leave(self) -> None:
+        """The client has ended its sending: what is out may still be answered, nothing more is sent."""
+        self.leaving = True
+        for exchange in list(self._exchanges):
+            if not exchange.begun and exchange.request is not None:
+                self.server.core.on_half_closed(exchange.request)
+
     def _decline_upgrade(self) -> None:
         """Answered as if it had not been asked for; as the parser reads no further, the connection ends."""
         self.deaf = True
@@ -523,9 +547,7 @@
         if self._current is not None and self._in_message and not self.deaf:
             self._reject(BadRequest(400, "the body was cut short"))
         self._ended = self.deaf = True
-        for exchange in list(self._exchanges):
-            if not exchange.begun and exchange.request is not None:
-                self.server.core.on_half_closed(exchange.request)
+        self._leave()
         return bool(self._exchanges)
 
     def flush(self) -> None:
@@ -646,8 +668,12 @@
 class Server:
     """All connections of clients."""
 
-    def __init__(self, core: Core, settings: Settings, max_open: int, stats: Stats, room: Room) -> None:
+    def __init__(self, core: Core, timers: Timers, settings: Settings, max_open: int, stats: Stats,
+                 room: Room) -> None:
         self.core = core
+        self._timers = timers
+        self._paused: dict[ClientConnection, None] = {}   # those that are not read now
+        self._looking = False
         self.room = room
         self.stats = stats
         self.on_settings(settings)
@@ -678,6 +704,21 @@
             if len(self._connections) > self.max_open + SPARE and conn.transport is not None:
                 conn.transport.close()
 
+    def paused(self, conn: ClientConnection) -> None:
+        """A connection is read no further for now."""
+        self._paused[conn] = None
+        if not self._looking:
+            self._looking = True
+            self._timers.after(UNREAD, self._look_unread, None)
+
+    def _look_unread(self, _: None) -> None:
+        for conn in list(self._paused):
+            if not conn.look_unread():
+                self._paused.pop(conn, None)
+        self._looking = bool(self._paused)
+        if self._looking:
+            self._timers.after(UNREAD, self._look_unread, None)
+
     def left(self, conn: ClientConnection) -> None:
         """Count a connection out."""
         self._connections.pop(conn, None)
@@ -705,6 +746,9 @@
             exchange.respond(400, [], b"a request with this id is open\n")
             return
         exchange.cls = asked.name.decode()
+        if exchange.conn.leaving:
+            exchange.failed()   # read after its client had ended its sending: nothing is sent for it
+            return
         if exchange.conn.surplus or (coming is not None and self.room.full):
             exchange.close = True
             exchange.refused(0)   # nothing was sent for it
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -108,6 +108,10 @@
         if self.conn is not None:
             self.conn.pause(wanted)
 
+    def connected(self) -> bool:
+        """Whether it has a connection that is up."""
+        return self.conn is not None and self.conn.transport is not None
+
     def written(self) -> bool:
         """Whether the request's last byte is on the socket."""
         return self.conn is not None and self.conn.written()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import socket
+import struct
 
 import pytest
 
 from bridgesaddle.api import MS, SECOND, Outcome
 from gateway.timers import now_ns
 from gateway.upstream import Attempt
-from tests.sockets import OK, play, rested
+from tests.sockets import OK, SETTINGS, FakeDiscovery, FakeHost, Stage, play, request, rested, until
 from tests.test_upstream import HEAD, Bench, silent_listener
 
 # ---- Repeats ------------------------------------------------------------------------------------------------
@@ -125,3 +126,81 @@
                 assert await asked == b""   # the connection that has answered twice is closed
                 second.close()
     play(scene)
+
+
+# ---- Clients that leave -------------------------------------------------------------------------------------
+
+
+def leave(writer: asyncio.StreamWriter, how: str) -> None:
+    """A client goes: it ends its sending, or resets the connection."""
+    if how == "end":
+        writer.write_eof()
+    else:
+        sock: socket.socket = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+@pytest.mark.parametrize("lines", [1, 7, 12, 40])
+def test_a_client_that_leaves_while_its_requests_wait_has_none_of_them_sent_on(lines: int, how: str) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host, rows=[])
+            first, writer = await stage.discovery.calls.get()
+            assert "watch=1" in first
+            client = await stage.client()
+            client.send(b"".join(request(rid=f"r{number}") for number in range(lines)))
+            await until(lambda: stage.gateway.server.pending == lines)   # no host: they wait
+            left = now_ns()
+            leave(client.writer, how)
+            await until(lambda: stage.gateway.server.pending == 0)
+            assert now_ns() - left < SECOND   # the module would hold them for three
+            FakeDiscovery.head(writer)
+            FakeDiscovery.line(writer, 42, [host.row()])
+            other = await stage.client()
+            assert (await other.ask(request(rid="other")))[0] == 200
+            assert (await host.seen.get()).headers["x-request-id"] == "other"
+            assert host.seen.empty()
+    play(scene)
+
+
+def test_more_requests_in_line_behind_an_end_are_answered_and_none_is_sent() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(rows=[])
+            client = await stage.client()
+            many = 900   # more than one read brings
+            client.send(b"".join(request(rid=f"r{number}") for number in range(many)))
+            client.writer.write_eof()
+            for _ in range(many):   # it may only have ended its sending: nobody is left without an answer
+                assert (await client.answer())[0] == 502
+    play(scene)
+
+
+def test_a_connection_that_comes_up_after_the_client_has_left_carries_nothing() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            loop = asyncio.get_running_loop()
+            listener, fill, address = silent_listener()
+            with listener:
+                host = FakeHost()
+                host.address = address
+                await stage.begin(rows=[host.row()], caps={**SETTINGS["caps"], "dial-timeout-ns": 9 * SECOND})
+                client = await stage.client()
+                client.send(request())
+                await until(lambda: stage.gateway.server.pending == 1)
+                client.writer.write_eof()
+                assert (await client.answer())[0] == 502
+                listener.setblocking(False)
+                for sock in fill:
+                    sock.close()
+                while True:
+                    try:
+                        conn, _ = await asyncio.wait_for(loop.sock_accept(listener), 1.5)
+                    except TimeoutError:
+                        break
+                    with conn:
+                        assert await loop.sock_recv(conn, 100) == b""
+    play(scene)
