Discovery: lists may come indented, over several lines and chunks; a line cut short costs no change

Cause, by reading and then forced: discovery.py `on_body` took each line for an object. Change: a watch's text is cut into objects by their brackets (`Objects`). What can't become whole is found at once (a string without end, an object where a name should stand, brackets that do not fit, an empty line in the middle), the rest by 150 ms without a byte, a time that doubles while no list comes whole: begun anew from the last good version.

--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -7,6 +7,7 @@
 import logging
 import math
 import random
+import re
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple, cast
 
@@ -18,7 +19,7 @@
 
 log = logging.getLogger("gateway.discovery")
 
-BEAT = 2 * SECOND
+HEARTBEAT = 2 * SECOND
 """An empty line comes so often while nothing changes."""
 SILENT = 3 * SECOND
 """A watch that has been silent so long is dead: one beat missed and half of one more.
@@ -29,6 +30,8 @@
 """Longest wait for the first line: calls wait their turn at a discovery that serves all gateways."""
 CONNECT = 2 * SECOND
 """Longest wait for the connection itself."""
+CUT_SHORT = 150 * MS
+"""An object that has begun and of which nothing comes for so long was cut short; doubles each time that it was so."""
 MAX_LINE = 8 * 1024 * 1024
 MAX_HEAD = 16 * 1024
 BACKOFF_FIRST, BACKOFF_MAX = 0.25, 5.0
@@ -87,6 +90,67 @@
         return Listed(entry, (address.strip("[]"), int(port)))
 
 
+_TEXTS = re.compile(rb'"(?:[^"\\]|\\.)*"')
+
+
+class Objects:
+    """Cuts a watch's text into its objects, each on one line or, indented, on several.
+
+    A line that is cut short must cost no change: it can't be told from the start of an indented object by itself, but
+    by what follows.  A string that does not end on its line, an object where a name should stand, an empty line in
+    the middle and, told by `Discovery`, nothing at all for a while: in each case the call is begun anew.
+    """
+
+    def __init__(self) -> None:
+        self._lines: list[bytes] = []   # of an object that is not whole
+        self._open = bytearray()        # its brackets that are open
+        self._rest = b""                # a line that is not whole
+        self._size = 0
+
+    @property
+    def partial(self) -> bool:
+        """Whether an object has begun and is not whole."""
+        return bool(self._lines or self._rest.strip())
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The objects that are whole now; raises BadLine where one can't become whole any more."""
+        *lines, rest = (self._rest + data).split(b"\n")
+        self._rest = rest
+        self._size += len(data)
+        whole = []
+        for line in lines:
+            if self._take(line.strip()):
+                whole.append(b"\n".join(self._lines))
+                self._lines.clear()
+                self._size = len(rest)
+        if self._size > MAX_LINE:
+            raise BadLine("an object without end")
+        if not self._lines:
+            self._size = len(rest)
+        return whole
+
+    def _take(self, line: bytes) -> bool:
+        """One more line; whether it makes the object whole."""
+        if not line:
+            if self._lines:
+                raise BadLine("an empty line in an object")
+            return False
+        bare = _TEXTS.sub(b"", line)
+        if b'"' in bare:
+            raise BadLine("a string without end")
+        if not self._open and bare[:1] != b"{":
+            raise BadLine("no object")
+        if self._open[-1:] == b"{" and bare[:1] in b"{[" and not self._lines[-1].endswith(b":"):
+            raise BadLine("an object in an object")
+        for bracket in bare:
+            if bracket in b"{[":
+                self._open.append(bracket)
+            elif bracket in b"}]" and (not self._open or self._open.pop() != bracket - 2):
+                raise BadLine("brackets that do not fit")
+        self._lines.append(line)
+        return not self._open
+
+
 class _Call(asyncio.Protocol):
     """One call of discovery: a watch, which stays open, or the whole list once."""
 
@@ -94,8 +158,8 @@
         self._owner = owner
         self._watch = watch
         self._parser = httptools.HttpResponseParser(self)
-        self._line = bytearray()
-        self._ready: list[bytes] = []
+        self._objects = Objects()
+        self._body = bytearray()    # not yet cut into objects; of a list that is asked for once, all of it
         self._done = False
         self._status = 0     # once its head is whole
         self._size = 0
@@ -130,26 +194,33 @@
             self._owner.ended(self, f"answer {self._status}")
             return
         self.heard = now_ns()
-        lines, self._ready = self._ready, []
-        for line in lines:
-            if line.strip() and not self.over:
-                self._owner.line(self, line)
-        if len(self._line) > MAX_LINE:
-            self._owner.ended(self, "a line without end")
-        elif self._done and not self.over:
-            if not self._watch:
-                self._owner.line(self, bytes(self._line))
+        try:
+            self._cut()
+        except BadLine as error:
+            log.warning("broken line dropped: %s", error)
+            self._owner.ended(self, "a broken line")
+        if self._done:
             self._owner.ended(self, "the answer has ended", failed=self._watch)
+        elif self._objects.partial and not self.over:
+            self._owner.cut_short(self)
+
+    def _cut(self) -> None:
+        """Tell the objects that are whole."""
+        if self._watch:
+            texts, self._body = self._objects.feed(bytes(self._body)), bytearray()
+        else:
+            if len(self._body) > MAX_LINE:
+                raise BadLine("a list without end")
+            texts = [bytes(self._body)] if self._done else []
+        for text in texts:
+            if not self.over:
+                self._owner.line(self, text)
 
     def on_headers_complete(self) -> None:
         self._status = self._parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
-        self._line += body
-        if self._watch and b"\n" in body:
-            *lines, rest = bytes(self._line).split(b"\n")
-            self._ready += lines
-            self._line = bytearray(rest)
+        self._body += body
 
     def on_message_complete(self) -> None:
         self._done = True
@@ -190,6 +261,7 @@
         self._watch: _Call | None = None
         self._fetch: _Call | None = None
         self._pause = BACKOFF_FIRST
+        self._patience = CUT_SHORT
         self.authority = f"{address[0]}:{address[1]}"
         self.generation = 0
 
@@ -265,8 +337,19 @@
             return
         self.generation = generation
         self._pause = BACKOFF_FIRST
+        self._patience = CUT_SHORT
         self._tell(ListKind.FULL if whole else ListKind.DELTA, entries)
 
+    def cut_short(self, call: _Call) -> None:
+        """An object has begun and is not whole: what was cut short shows only by nothing coming any more."""
+        self._timers.after(self._patience, self._cut_short, (call, call.heard))
+
+    def _cut_short(self, about: tuple[_Call, int]) -> None:
+        call, heard = about
+        if not call.over and call.heard == heard:
+            self._patience *= 2   # a service that is slow with each list must not be asked for it for ever
+            self.ended(call, "an object that was cut short")
+
     def _doubt(self, told: dict[str, Any], generation: int, whole: bool, entries: Sequence[Listed]) -> str:
         """Why a list is not taken; one service alone is believed."""
         return ""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -200,3 +200,48 @@
         assert (await heard.told.get())[0] is ListKind.DELTA
         assert heard.told.empty()
     play(scene)
+
+
+@pytest.mark.parametrize("indent", [0, 2, None])
+@pytest.mark.parametrize("piece", [7, 100_000])
+def test_a_list_may_come_indented_over_several_lines_and_chunks(indent: int | None, piece: int) -> None:
+    async def scene() -> None:
+        heard = Heard()
+        fake, discovery = await heard.start()
+        discovery.watch(True)
+        _, writer = await fake.calls.get()
+        fake.head(writer)
+        rows = [ROW, {**ROW, "instanceId": 'h"1\\', "lifecycle": "terminating"}]
+        for generation in (43, 44):
+            text = json.dumps({"generation": generation, "reset": True, "instances": rows}, indent=indent)
+            data = text.encode() + b"\n\n"   # and the empty line of a quiet time
+            for at in range(0, len(data), piece):
+                fake.raw(writer, data[at:at + piece])
+            kind, listed = await heard.told.get()
+            assert (kind, [item.entry.host for item in listed]) == (ListKind.FULL, ["h0", 'h"1\\'])
+        assert discovery.generation == 44
+        assert heard.told.empty()
+    play(scene)
+
+
+WHOLE = json.dumps({"generation": 43, "reset": False, "instances": [ROW]}).encode()
+
+
+@pytest.mark.parametrize("cut", [WHOLE[:1], WHOLE[:18], WHOLE[:25], WHOLE[:-1], WHOLE[:-2], WHOLE[:60],
+                                 WHOLE.replace(b"]", b""), WHOLE + b"}"])
+@pytest.mark.parametrize("after", [b"", b"\n", b"\n\n", b"\n" + WHOLE + b"\n"])
+def test_a_line_that_is_cut_short_costs_no_change(cut: bytes, after: bytes) -> None:
+    async def scene() -> None:
+        heard = Heard(pushed=True)
+        fake, discovery = await heard.start()
+        _, writer = await fake.calls.get()
+        fake.head(writer)
+        fake.raw(writer, cut + after)
+        begun = now_ns()
+        first, writer = await fake.calls.get()   # begun anew, from the last good version
+        assert "from=41" in first
+        assert now_ns() - begun < SECOND
+        fake.head(writer)
+        fake.raw(writer, WHOLE + b"\n")
+        await until(lambda: discovery.generation == 43)
+    play(scene)
