Discovery: a watch that falls silent is begun anew in that moment; a pushed one rests less than the grace

Ruled out: the module sending to a host it knew to drain (the list had not come), and a call that waits (none was out). Lines at fault: program.py `_sweep` (0.5 s), discovery.py `ended` (silence told as a failed call), and for pushed lists the backoff of up to 7.5 s after a service that was down, when what it has counts as told at once. Change: each call has a timer of its own; a watch that has told something and falls silent is begun anew within 0.25 s, the module is not asked. A pushed watch rests a quarter of the drain grace (0.04 to 0.11 s of 0.3) after a service that could not be reached, said no within 0.1 s, or whose watch had lived for a second; a call that waited in vain doubles the rest as before, so that a service with too many callers is spared. Tests: the silence test waits for the real time now instead of a clock handed in, so it is stricter; 4 scenes.

--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -34,7 +34,11 @@
 """An object that has begun and of which nothing comes for so long was cut short; doubles each time that it was so."""
 MAX_LINE = 8 * 1024 * 1024
 MAX_HEAD = 16 * 1024
-BACKOFF_FIRST, BACKOFF_MAX = 0.25, 5.0
+BACKOFF_FIRST, BACKOFF_MAX = 250 * MS, 5 * SECOND
+APART = 250 * MS
+"""Watches that fall silent together are begun anew so far apart, at random."""
+AT_ONCE = 100 * MS
+"""A call that fails within this time has not waited its turn."""
 PATH = "/registry/instances"
 STATES = {"in_service": HostState.READY, "terminating": HostState.DRAINING, "terminated": HostState.GONE}
 
@@ -168,6 +172,7 @@
         self.over = False
         self.begun = now_ns()
         self.heard = 0
+        self.told = 0     # when a list of it was first taken
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)   # uvloop has its own kind
@@ -228,11 +233,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._owner.ended(self, f"connection lost: {exc}")
 
-    def silent(self, now: int) -> bool:
-        """Whether nothing has come for too long: the other side may have vanished without a word."""
+    def due(self) -> int:
+        """From when on it counts as silent: the other side may have vanished without a word."""
         if self.heard:
-            return now - self.heard > SILENT
-        return now - self.begun > (CONNECT if self.transport is None else CALL)
+            return self.heard + SILENT
+        return self.begun + (CONNECT if self.transport is None else CALL)
 
     def close(self) -> None:
         self.over = True
@@ -251,8 +256,9 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, address: tuple[str, int],
                  lines: Lines, pushed: bool,
-                 tell: Callable[[ListKind, list[Listed]], None]) -> None:
+                 tell: Callable[[ListKind, list[Listed]], None], grace_ns: int = 0) -> None:
         self._loop = loop
+        self.grace_ns = grace_ns   # in which a change has to be followed
         self._timers = timers
         self._address = address
         self._lines = lines
@@ -311,8 +317,30 @@
     def _call(self, watch: bool) -> _Call:
         call = _Call(self, watch)
         call.task = self._loop.create_task(self._connect(call))
+        self._timers.at(call.due(), self._look, call)
         return call
 
+    def _look(self, call: _Call) -> None:
+        """Give up a call that has gone silent, in the moment in which it has."""
+        if call.over:
+            return
+        if now_ns() < call.due():
+            self._timers.at(call.due(), self._look, call)
+        elif call.told:
+            self.fell_silent(call)
+        else:
+            self.ended(call, "silent")
+
+    def fell_silent(self, call: _Call) -> None:
+        """A watch that told something and tells no more is begun anew at once, whoever asked for it.
+
+        What it misses counts as told 6 s after it fell silent: there is no time for the pause of a call that failed.
+        """
+        log.info("discovery: the watch has fallen silent")
+        call.close()
+        self._watch = None
+        self._timers.after(int(random.random() * APART), self.watch, True)
+
     async def _connect(self, call: _Call) -> None:
         try:
             await self._loop.create_connection(lambda: call, *self._address)
@@ -338,6 +366,7 @@
         self.generation = generation
         self._pause = BACKOFF_FIRST
         self._patience = CUT_SHORT
+        call.told = call.told or now_ns()
         self._tell(ListKind.FULL if whole else ListKind.DELTA, entries)
 
     def cut_short(self, call: _Call) -> None:
@@ -368,20 +397,27 @@
         log.info("discovery: %s", why)
         self._tell(ListKind.FAILED, [])
         if self._pushed and self._watch is None:
-            self._timers.after(int(self._pause * (0.5 + random.random()) * SECOND), self.watch, True)
-            self._pause = min(2 * self._pause, BACKOFF_MAX)
+            self._timers.after(int(self._rest(call) * (0.5 + random.random())), self.watch, True)
+
+    def _rest(self, call: _Call) -> int:
+        """How long a pushed watch rests after a call that has ended.
+
+        What the service has counts as told whether a watch is open or not, so the rest is a part of the time in which
+        a change has to be followed.  A service that is down, or whose watches end, is asked nothing by that.  One with
+        too many callers lets them wait before it turns them away: a call that has waited in vain doubles the rest.
+        """
+        now = now_ns()
+        alive = call.told and now - call.told > SECOND
+        if self.grace_ns and (alive or call.transport is None or (not call.heard and now - call.begun < AT_ONCE)):
+            return min(BACKOFF_FIRST, self.grace_ns // 4)
+        rest, self._pause = self._pause, min(2 * self._pause, BACKOFF_MAX)
+        return rest
 
     def start(self) -> None:
         """Where lists are pushed nobody asks: the watch begins by itself."""
         if self._pushed:
             self.watch(True)
 
-    def sweep(self, now: int) -> None:
-        """Give up calls that have gone silent."""
-        for call in (self._watch, self._fetch):
-            if call is not None and call.silent(now):
-                self.ended(call, "silent")
-
     def close(self) -> None:
         """End everything; the program is over."""
         for call in (self._watch, self._fetch):
--- a/gateway/failover.py
+++ b/gateway/failover.py
@@ -92,17 +92,18 @@
     """`Discovery` at several addresses, in turn."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, addresses: Sequence[Address], lines: Lines,
-                 pushed: bool, tell: Callable[[ListKind, list[Listed]], None], kept: KeptList | None) -> None:
+                 pushed: bool, tell: Callable[[ListKind, list[Listed]], None], kept: KeptList | None,
+                 grace_ns: int = 0) -> None:
         self._all = list(addresses)
         random.shuffle(self._all)      # gateways spread over the services
-        super().__init__(loop, timers, self._all[0], lines, pushed, tell)
+        super().__init__(loop, timers, self._all[0], lines, pushed, tell, grace_ns)
         self._failed = 0               # services that failed since one told a list
         self._wanted = False
         self._rows: dict[str, Any] = {}
         self._kept = kept
         self._thread = ThreadPoolExecutor(1, "list") if kept is not None else None
         self._writing = False
-        self._touched = 0
+        timers.after(TOUCH, self._confirm, None)
 
     # ---- What is told ------------------------------------------------------------------------------------
 
@@ -188,13 +189,17 @@
             self._failed = 0
         super().move(self._address if same else address, lines, pushed)
 
-    def sweep(self, now: int) -> None:
-        """Give up calls that have gone silent; a list that a living watch confirms is not old."""
-        super().sweep(now)
-        if (self._kept is not None and self._thread is not None and now - self._touched > TOUCH
-                and self._watch is not None and self._watch.heard):
-            self._touched = now
+    def fell_silent(self, call: _Call) -> None:
+        """Another service may speak."""
+        self.ended(call, "silent")
+
+    def _confirm(self, _: None) -> None:
+        """A list that a living watch confirms is not old."""
+        if self._kept is None or self._thread is None:
+            return
+        if self._watch is not None and self._watch.heard:
             self._thread.submit(self._kept.touch)
+        self._timers.after(TOUCH, self._confirm, None)
 
     def close(self) -> None:
         """End everything; the program is over."""
@@ -202,3 +207,4 @@
         self._save(None)      # what was about to be
         if self._thread is not None:
             self._thread.shutdown()
+            self._thread = None
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -173,10 +173,10 @@
             from .failover import Failover, KeptList
             kept = KeptList(config.list_folder, config.name) if config.list_folder else None
             self.discovery = Failover(loop, self.timers, [config.discovery, *config.others], lines,
-                                      not settings.ask_discovery, self._on_list, kept)
+                                      not settings.ask_discovery, self._on_list, kept, settings.rules.drain_grace_ns)
         else:
             self.discovery = Discovery(loop, self.timers, config.discovery, lines, not settings.ask_discovery,
-                                       self._on_list)
+                                       self._on_list, settings.rules.drain_grace_ns)
         self.core.attach(self.upstream, self.discovery)
         self.server = Server(self.core, self.timers, settings, clients, self.stats, self.room)
         self.admin = Admin({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars,
@@ -276,7 +276,6 @@
     def _sweep(self, _: None) -> None:
         now = now_ns()
         self.upstream.sweep(now)
-        self.discovery.sweep(now)
         self.server.sweep(now)
         self.admin.sweep(now)
         self.timers.after(SWEEP, self._sweep, None)
@@ -314,6 +313,7 @@
         self.upstream.on_settings(settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns)
         self._columns = told.columns
         self.core.on_settings(settings, told.columns)
+        self.discovery.grace_ns = settings.rules.drain_grace_ns
         self.discovery.move(told.discovery, Lines(told.zones, told.kinds, self._offset),
                             not settings.ask_discovery, told.others)
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 import pytest
 
 from bridgesaddle.api import MS, SECOND, HostState, ListKind
-from gateway.discovery import MAX_LINE, Discovery, Lines, Listed
+from gateway.discovery import AT_ONCE, MAX_LINE, Discovery, Lines, Listed
 from gateway.timers import Timers, now_ns
 from tests.sockets import FakeDiscovery, FakeHost, Stage, play, request, until
 
@@ -112,19 +112,70 @@
     play(scene)
 
 
-def test_a_silent_watch_is_dead() -> None:
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_watch_that_falls_silent_is_begun_anew_in_time_for_what_it_misses(pushed: bool) -> None:
     async def scene() -> None:
-        heard = Heard()
+        heard = Heard(pushed)
         fake, discovery = await heard.start()
         discovery.watch(True)
         _, writer = await fake.calls.get()
         fake.head(writer)
         fake.line(writer, 43, [])
         assert await heard.told.get() == (ListKind.DELTA, [])
-        discovery.sweep(now_ns() + 2 * SECOND)   # the next beat is due, no more
+        since = now_ns()
+        first, _ = await fake.calls.get()   # from here: the module would wait before it asks
+        assert "watch=1&from=43" in first
+        assert 2500 * MS < now_ns() - since < 3500 * MS   # a heartbeat is missed; 6 s on the change counts as told
         assert heard.told.empty()
-        discovery.sweep(now_ns() + 3500 * MS)    # what it would have told counts as told after 6 s
+    play(scene)
+
+
+def test_a_watch_that_falls_silent_just_after_its_head_has_failed() -> None:
+    async def scene() -> None:
+        heard = Heard()
+        fake, discovery = await heard.start()
+        discovery.watch(True)
+        _, writer = await fake.calls.get()
+        fake.head(writer)
+        since = now_ns()
         assert await heard.told.get() == (ListKind.FAILED, [])
+        assert now_ns() - since < 3300 * MS
+    play(scene)
+
+
+def test_a_pushed_watch_is_back_within_the_time_for_following_a_change_once_the_service_is() -> None:
+    async def scene() -> None:
+        heard = Heard(pushed=True)
+        fake, discovery = await heard.start()
+        discovery.grace_ns = 300 * MS
+        _, writer = await fake.calls.get()
+        writer.close()
+        for _ in range(12):   # turned away at once, for as long as the service is down: the rest does not grow
+            assert (await heard.told.get())[0] is ListKind.FAILED
+            since = now_ns()
+            first, writer = await fake.calls.get()
+            assert "watch=1" in first
+            assert now_ns() - since < 250 * MS
+            writer.write(b"HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n")
+    play(scene)
+
+
+def test_a_pushed_watch_that_has_waited_in_vain_rests_longer_each_time() -> None:
+    async def scene() -> None:
+        heard = Heard(pushed=True)
+        fake, discovery = await heard.start()
+        discovery.grace_ns = 300 * MS
+        rests = []
+        _, writer = await fake.calls.get()
+        for _ in range(3):
+            waited = now_ns() + AT_ONCE
+            await until(lambda waited=waited: now_ns() > waited)   # type: ignore[misc]
+            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            assert (await heard.told.get())[0] is ListKind.FAILED
+            since = now_ns()
+            _, writer = await fake.calls.get()
+            rests.append(now_ns() - since)
+        assert rests[2] > 500 * MS > 400 * MS > rests[0]
     play(scene)
 
 
