Closes on the client's side: nothing is closed over unread bytes; the end leaves time to read answers

Causes, by reading and then forced with sockets (tests/test_races.py): (1) server.py closed idle connections, made room for newcomers and ended drained ones with `close()`; a request that was in the kernel by then was reset unheard, and with it a small answer that had not been read. (2) program.py `_leave` ended the process in the moment in which it worded the last answers. (3) It took the longest deadline of the settings in force, so shorter ones by SIGHUP during a shutdown cut what was held under longer ones. (4) A request that came in the last moments was taken and then failed or lost. Change: one way for a connection to end (`retire`): if nothing waits unread its sending ends, what still comes is thrown away, and it is closed once the client has closed, after a second at most; if something waits it is read and answered first. Those that linger are bounded (16 beyond the limit), and a connection that has just come makes no room for another. The time of the end is fixed at SIGTERM from the deadlines in force and of what is held; from then on requests are refused unsent, and clients have 0.3 s to read and close, 0.2 s before SIGKILL at the soonest. Ruled out: answers of `fail_all` lost in uvloop's buffer (the scene passes on the code before) and a reset of quiet idle connections at the exit (passes too); both scenes stay. `deaf` is `discarding` now.

--- a/gateway/core.py
+++ b/gateway/core.py
@@ -299,6 +299,11 @@
         """Requests in the table: those owed an answer, and those with attempts still out."""
         return list(self._requests.values())
 
+    def longest(self, now: int) -> int:
+        """The longest time that a request which is held has left."""
+        return max((request.last_call - now for request in self._requests.values()
+                    if request.exchange is not None and request.last_call < FAR), default=0)
+
     def fail_all(self) -> None:
         """The program must end now: what is still held is answered rather than lost."""
         for request in self.held():
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -44,6 +44,8 @@
 
 SIGKILL comes from 0.7 s after that deadline on, which counts as 3 s at most.
 """
+LEAVE_LAST = 300 * MS
+"""So long clients may then take to read their answers and to close."""
 RESERVE = 48
 """Descriptors for everything that is neither a client's nor a host's connection."""
 CLIENTS = 0.55
@@ -188,6 +190,7 @@
         self._told = asyncio.Event()
         self._done = asyncio.Event()
         self._stop_at = 0
+        self._end_at = 0
 
     async def start(self) -> tuple[str, int]:
         """Begin to watch and, once clients can be served, to listen; returns the address."""
@@ -322,6 +325,9 @@
         if self._stop_at:
             return
         self._stop_at = now_ns()
+        # By what holds now: neither what is held nor SIGKILL waits for settings that come later.
+        longest = max([item.deadline_ns for item in self._settings.classes] + [self.core.longest(self._stop_at)])
+        self._end_at = self._stop_at + min(longest, LEAVE_MOST) + LEAVE_MORE
         self._told.set()
         self._drain(True)
         self.server.succeeded = self.handover.succeeded()
@@ -350,11 +356,11 @@
 
     def _leave(self, _: None) -> None:
         """End once nothing is owed any more; every request has a deadline, so this ends."""
-        longest = max(item.deadline_ns for item in self._settings.classes)
-        late = now_ns() - self._stop_at > min(longest, LEAVE_MOST) + LEAVE_MORE
-        if late:
+        now = now_ns()
+        if now > self._end_at:
             self.core.fail_all()
-        if not (self.server.open or self._taking) or late:
+            self.server.end()
+        if not (self.server.open or self._taking) or now > self._end_at + LEAVE_LAST:
             self.handover.close()
             self.admin.close()
             self.discovery.close()
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -44,6 +44,8 @@
 IDLE = 90 * SECOND
 DRAIN_IDLE = 2 * SECOND
 """A drained connection is closed after so long between requests: sooner, the close would cross requests."""
+JUST_COME = 100 * MS
+"""A connection on which nothing has come for less makes no room for another."""
 LINGER = 1 * SECOND
 """How long what still arrives is thrown away after an error, so that the client can read it."""
 MAX_ID = 200
@@ -288,7 +290,7 @@
         self._parser: Any = httptools.HttpRequestParser(self)
         self._exchanges: deque[Exchange] = deque()
         self._error: BadRequest | None = None
-        self.deaf = False       # framing is lost or the last request is in: what comes is thrown away
+        self.discarding = False       # framing is lost or the last request is in: what comes is thrown away
         self._ended = False      # the client has ended its sending, and all of it is read
         self.leaving = False        # it has ended its sending, whether or not all of it is read
         self._paused = False
@@ -346,7 +348,7 @@
 
     def data_received(self, data: memoryview) -> None:
         parser = self._parser
-        if self.deaf or parser is None:
+        if self.discarding or parser is None:
             return
         try:
             parser.feed_data(data)
@@ -358,7 +360,7 @@
             self._size += len(data)   # guards against a head without end, which shows no header
             if self._size > 2 * MAX_HEAD:
                 self._error = BadRequest(431, "a head too long")
-        if self._error is not None and not self.deaf:
+        if self._error is not None and not self.discarding:
             self._reject(self._error)
         if self._coming is not None or len(self._body) > MAX_BODY:
             self._stream()
@@ -368,7 +370,7 @@
 
     def _stream(self) -> None:
         """A body too long to be collected: its request is taken now, the rest passed on as it comes."""
-        if self._error is not None or self.deaf or not self._in_message:
+        if self._error is not None or self.discarding or not self._in_message:
             return
         if self._coming is None:
             self._coming = Body(self._length, bytes(self._body), self.steer)
@@ -421,7 +423,7 @@
 
     def _decline_upgrade(self) -> None:
         """Answered as if it had not been asked for; as the parser reads no further, the connection ends."""
-        self.deaf = True
+        self.discarding = True
         if self._exchanges and not self._exchanges[-1].begun:
             self._exchanges[-1].close = True
         else:
@@ -429,7 +431,7 @@
 
     def _reject(self, error: BadRequest) -> None:
         """Framing is lost: one answer, in its turn, and the connection closes."""
-        self.deaf = True
+        self.discarding = True
         exchange, self._current, self._coming = self._current, None, None
         if exchange is None or exchange.done:   # an answer may come before the end of its request
             exchange = Exchange(self, close=True)
@@ -502,20 +504,20 @@
         if self._error is None and self._received > MAX_LONG:
             self._error = BadRequest(413, "a body too long")
             self._body.clear()
-        elif self._error is None and not self.deaf:
+        elif self._error is None and not self.discarding:
             self._body += body
 
     def on_message_complete(self) -> None:
         self._in_message = False
-        if self._error is not None or self.deaf:
+        if self._error is not None or self.discarding:
             return
         self._asked = True
         close = not self._parser.should_keep_alive()
         if self._coming is not None:
-            self.deaf = self.deaf or close
+            self.discarding = self.discarding or close
             self._end_long()
             return
-        self.deaf = close
+        self.discarding = close
         exchange = Exchange(self, close, self._parser.get_http_version() == "1.0")
         self._exchanges.append(exchange)
         self._take(exchange, bytes(self._body))
@@ -544,9 +546,9 @@
 
     def eof_received(self) -> bool:
         """The client has ended its sending; it may still read, so what it is owed is answered."""
-        if self._current is not None and self._in_message and not self.deaf:
+        if self._current is not None and self._in_message and not self.discarding:
             self._reject(BadRequest(400, "the body was cut short"))
-        self._ended = self.deaf = True
+        self._ended = self.discarding = True
         self._leave()
         return bool(self._exchanges)
 
@@ -583,7 +585,7 @@
         if exchange is self._current and self._expecting:
             exchange.close = True   # the body it holds back may come or not: framing is lost
         if exchange.close and exchange is not self._current:
-            self.deaf = True
+            self.discarding = True
 
     def cut(self) -> None:
         """End before the end of an answer.  A reset, as where only the end tells a close would look whole."""
@@ -594,8 +596,13 @@
             self.transport.abort()
 
     def _linger(self) -> None:
-        """Guards against a reset that would take the answer with it: end the sending, drain, then close."""
-        self.deaf = self.lingering = True
+        """Guards against a reset that would take the answer with it: end the sending, drain, then close.
+
+        What comes from here on is never sent on: its answer could not be given any more.
+        """
+        self.discarding = self.lingering = True
+        self.since = now_ns()
+        self.server.lingers(self)
         if self.transport is not None and self.transport.can_write_eof():
             self.transport.write_eof()
 
@@ -640,10 +647,10 @@
         elif self.lingering:
             if waited > LINGER:
                 self.transport.abort() if self._stuck_since else self.transport.close()
-        elif self._in_message and not self.deaf and self._too_slow(now):
+        elif self._in_message and not self.discarding and self._too_slow(now):
             self._reject(BadRequest(408, "the request was too slow"))
-        elif self.between_requests() and waited > self._patience():
-            self.transport.close()
+        elif self.between_requests() and waited > self._patience() and not self.retire():
+            self.server.sweep_again(self)   # whatever crosses it may be no request
 
     def _too_slow(self, now: int) -> bool:
         """Judges the head by its time and the body by its progress, but for the time it was not read."""
@@ -659,9 +666,27 @@
             return ARRIVE
         return DRAIN_IDLE if self.server.draining else IDLE
 
-    def close_if_idle(self) -> None:
-        """Close between requests."""
-        if self.transport is not None and self.between_requests():
+    def retire(self) -> bool:
+        """End the connection between requests; False where one has come or just crosses, to be read and answered.
+
+        Guards against a close over bytes that are not read: a reset, which may also take the answer before them.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.lingering or not self.between_requests() \
+                or waiting(transport):
+            return False
+        self._linger()
+        return True
+
+    def end(self) -> None:
+        """The program is about to end: what is between requests ends, what crosses is refused unsent."""
+        self.surplus = True
+        if self._asked or now_ns() - self.since > JUST_COME:   # one that has just come is about to ask
+            self.retire()
+
+    def hurry(self) -> None:
+        """Its descriptor is needed: linger no longer."""
+        if self.transport is not None:
             self.transport.close()
 
 
@@ -674,6 +699,8 @@
         self._timers = timers
         self._paused: dict[ClientConnection, None] = {}   # those that are not read now
         self._looking = False
+        self._lingering: dict[ClientConnection, None] = {}
+        self._ending = False
         self.room = room
         self.stats = stats
         self.on_settings(settings)
@@ -695,10 +722,11 @@
     def joined(self, conn: ClientConnection) -> None:
         """Count a connection in; when there are too many, one between requests makes room."""
         self._connections[conn] = None
-        if len(self._connections) > self.max_open:
-            for other in self._connections:
-                if other is not conn and other.between_requests():
-                    other.close_if_idle()
+        conn.surplus = self._ending
+        if len(self._connections) - len(self._lingering) > self.max_open:
+            now = now_ns()
+            for other in self._connections:   # oldest first; one that has just come is about to ask
+                if other is not conn and now - other.since > JUST_COME and other.retire():
                     return
             conn.surplus = True
             if len(self._connections) > self.max_open + SPARE and conn.transport is not None:
@@ -722,6 +750,19 @@
     def left(self, conn: ClientConnection) -> None:
         """Count a connection out."""
         self._connections.pop(conn, None)
+        self._lingering.pop(conn, None)
+
+    def lingers(self, conn: ClientConnection) -> None:
+        """A connection waits for its client to close; not many may, as each keeps a descriptor."""
+        self._lingering[conn] = None
+        if len(self._lingering) > SPARE and len(self._connections) > self.max_open:
+            next(iter(self._lingering)).hurry()
+
+    def end(self) -> None:
+        """The program is about to end: nothing more is taken; called again until nothing is open."""
+        self._ending = True
+        for conn in list(self._connections):
+            conn.end()
 
     @property
     def ready(self) -> bool:
@@ -767,6 +808,10 @@
             conn.sweep(now)
         self.room.streams = sum(conn.streams for conn in self._connections if not conn.between_requests())
 
+    def sweep_again(self, conn: ClientConnection) -> None:
+        """Soon, as its time is up."""
+        self._timers.after(JUST_COME, lambda _: conn.sweep(now_ns()), None)
+
     @property
     def pending(self) -> int:
         """Requests that are taken and not ended."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
 import socket
 import struct
+from pathlib import Path
 
 import pytest
 
 from bridgesaddle.api import MS, SECOND, HostState, Outcome
+from gateway.server import ARRIVE, DRAIN_IDLE, IDLE, LINGER
 from gateway.timers import now_ns
 from gateway.upstream import Attempt
 from tests.sockets import OK, SETTINGS, FakeDiscovery, FakeHost, Stage, play, request, rested, until
+from tests.test_process import connect, launch, write_config
 from tests.test_upstream import HEAD, Bench, silent_listener
 
 # ---- Repeats ------------------------------------------------------------------------------------------------
@@ -206,3 +211,184 @@
                     with conn:
                         assert await loop.sock_recv(conn, 100) == b""
     play(scene)
+
+
+# ---- Closes on the client's side ----------------------------------------------------------------------------
+
+
+async def crossing(stage: Stage, rid: str) -> socket.socket:
+    """A client whose first request is answered and whose next one is in the kernel, not yet read by the gateway."""
+    loop = asyncio.get_running_loop()
+    sock = socket.create_connection(stage.where)
+    sock.setblocking(False)
+    await loop.sock_sendall(sock, request(rid=rid))
+    assert (await loop.sock_recv(sock, 1000)).startswith(b"HTTP/1.1 200")
+    sock.send(request(rid=rid + "-next"))
+    return sock
+
+
+@pytest.mark.parametrize("close", ["idle", "drain", "room"])
+def test_a_request_that_crosses_a_close_between_requests_is_read_and_answered(close: str) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost())
+            server = stage.gateway.server
+            with await crossing(stage, "r") as sock:
+                if close == "room":
+                    server.max_open = 1
+                    server.joined(server.connection())
+                else:
+                    server.draining = close == "drain"
+                    server.sweep(now_ns() + (DRAIN_IDLE if close == "drain" else IDLE) + MS)
+                assert (await asyncio.get_running_loop().sock_recv(sock, 1000)).startswith(b"HTTP/1.1 200")
+    play(scene)
+
+
+def test_a_request_that_comes_after_the_end_of_sending_is_not_sent_on() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            host = FakeHost()
+            await stage.begin(host)
+            client = await stage.client()
+            assert (await client.ask(request()))[0] == 200
+            await host.seen.get()
+            stage.gateway.server.sweep(now_ns() + IDLE + MS)
+            assert await client.reader.read() == b""   # the end, no reset
+            client.send(request(rid="late"))
+            assert stage.gateway.server.open == 1      # what comes is read, or the close would be a reset
+            other = await stage.client()
+            assert (await other.ask(request(rid="other")))[0] == 200
+            assert (await host.seen.get()).headers["x-request-id"] == "other"
+            stage.gateway.server.sweep(now_ns() + LINGER + MS)
+            await until(lambda: stage.gateway.server.open == 1)
+            assert host.seen.empty()
+    play(scene)
+
+
+def test_a_peer_whose_noise_crosses_the_end_of_its_time_is_told_or_closed_all_the_same() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost())
+            with socket.create_connection(stage.where) as sock:
+                await until(lambda: stage.gateway.server.open == 1)
+                (conn,) = stage.gateway.server._connections
+                await until(lambda: now_ns() - conn.since > ARRIVE)
+                sock.send(b"\r\n")   # no request yet, and not read as its time is found to be up
+                stage.gateway.server.sweep(now_ns())
+                assert not conn.discarding
+                await until(lambda: conn.discarding)
+                assert now_ns() - conn.since < 3 * SECOND
+    play(scene)
+
+
+def test_many_that_linger_give_their_descriptors_back() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost())
+            server = stage.gateway.server
+            server.max_open = 4
+            socks = []
+            for _ in range(80):   # they ask once, and neither read the end nor close
+                sock = socket.create_connection(stage.where)
+                sock.setblocking(False)
+                socks.append(sock)
+                await asyncio.get_running_loop().sock_sendall(sock, b"GET /health/ready HTTP/1.1\r\n\r\n")
+                assert (await asyncio.get_running_loop().sock_recv(sock, 1000)).startswith(b"HTTP/1.1 200")
+                server.sweep(now_ns() + IDLE + MS)
+            await until(lambda: server.open <= server.max_open + 2 * 16)
+            for sock in socks:
+                sock.close()
+    play(scene)
+
+
+# ---- The end of the program ---------------------------------------------------------------------------------
+
+SHORT = [{**item, "give-up-ns": 400_000_000, "slo-ns": 400_000_000} for item in SETTINGS["request-classes"]]
+
+
+def short(path: Path, discovery: FakeDiscovery, *hosts: FakeHost) -> None:
+    """A configuration whose longest deadline is shorter than a drained connection is left idle."""
+    config = write_config(path, discovery, *hosts)
+    path.write_text(json.dumps({**config, "settings": {**SETTINGS, "request-classes": SHORT}}))
+
+
+def test_with_short_deadlines_idle_connections_end_before_sigkill_and_none_is_reset(tmp_path: Path) -> None:
+    async def scene() -> None:
+        host, discovery = await FakeHost().start(), await FakeDiscovery().start()
+        short(tmp_path / "c", discovery, host)
+        program, where = await launch(tmp_path / "c")
+        readers = []
+        for number in range(3):
+            reader, writer = await asyncio.open_connection(*where)
+            if number:
+                writer.write(request(rid=f"r{number}"))
+                await reader.readuntil(b"done")
+            readers.append(reader)
+        since = now_ns()
+        program.send_signal(signal.SIGTERM)
+        for reader in readers:
+            assert await reader.read() == b""   # an end; a reset would raise
+        assert now_ns() - since < 1100 * MS     # SIGKILL: the longest deadline and 0.7 s
+        await program.wait()
+    play(scene)
+
+
+def test_what_is_held_as_the_program_ends_gets_a_whole_answer(tmp_path: Path) -> None:
+    async def scene() -> None:
+        host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
+        short(tmp_path / "c", discovery, host)
+        program, where = await launch(tmp_path / "c")
+        clients = [await connect(where) for _ in range(3)]
+        program.send_signal(signal.SIGTERM)
+        since = now_ns()
+        await until(lambda: now_ns() - since > 500 * MS)   # 0.1 s before the end: no answer will have come
+        for number, client in enumerate(clients):
+            client.send(request(rid=f"r{number}", X_Timeout_Ms="400"))
+        for client in clients:
+            text = await client.reader.read()   # up to the end; a reset would raise
+            assert text.startswith((b"HTTP/1.1 502", b"HTTP/1.1 503"))
+            assert text.endswith((b"failed\n", b"refused\n"))
+        assert now_ns() - since < 800 * MS      # by fail_all, not by its own time
+        for client in clients:
+            client.writer.close()
+        assert await program.wait() == 0
+    play(scene)
+
+
+def test_a_request_that_comes_as_the_program_ends_is_refused_unsent(tmp_path: Path) -> None:
+    async def scene() -> None:
+        host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
+        short(tmp_path / "c", discovery, host)
+        program, where = await launch(tmp_path / "c")
+        client = await connect(where)
+        client.send(b"POST /once/x HTTP/1.1\r\n")      # its head has begun
+        program.send_signal(signal.SIGTERM)
+        since = now_ns()
+        await until(lambda: now_ns() - since > 680 * MS)   # past the end, within the time to read the last answers
+        client.send(request("once").partition(b"\r\n")[2])
+        status, headers, _ = await client.answer()
+        assert (status, headers["connection"]) == (503, "close")
+        assert host.seen.empty()
+        client.writer.close()
+        assert await program.wait() == 0
+    play(scene)
+
+
+def test_shorter_deadlines_that_come_during_the_end_cut_nothing_that_is_held(tmp_path: Path) -> None:
+    async def scene() -> None:
+        host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
+        config = write_config(tmp_path / "c", discovery, host)
+        program, where = await launch(tmp_path / "c")
+        reader, writer = await asyncio.open_connection(*where)
+        writer.write(request())
+        seen = await host.seen.get()
+        program.send_signal(signal.SIGTERM)
+        (tmp_path / "c").write_text(json.dumps({**config, "settings": {**SETTINGS, "request-classes": SHORT}}))
+        program.send_signal(signal.SIGHUP)
+        since = now_ns()
+        await until(lambda: now_ns() - since > 1200 * MS)   # the shorter deadlines and all that follows are over
+        seen.reply()
+        assert (await reader.read()).endswith(b"done")
+        writer.close()
+        assert await program.wait() == 0
+    play(scene)
