Discovery: a broken entry of a known host takes nobody from the list and hides no drain

Cause, by reading: discovery.py `parse` dropped an entry that could not be read. In a whole list that made its host a gone one, and a drain told with a zone that is not known was not followed at all ("a broken entry costs no change"). Change: the last good entry of a listed host stands in, with the state that can be read; unknown hosts stay dropped. The new test fails on the code before, seen.

--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from bridgesaddle.api import MS, SECOND, HostEntry, HostState, ListKind
+from bridgesaddle.api import MS, SECOND, HostEntry, HostId, HostState, ListKind
 
 from .timers import Timers, now_ns
 
@@ -61,6 +61,7 @@
         self.names = (tuple(zones), tuple(kinds))
         self._zones = {name: index for index, name in enumerate(zones)}
         self._kinds = {name: index for index, name in enumerate(kinds)}
+        self._last: dict[HostId, Listed] = {}   # each listed host as it was last told
         self._offset = clock_offset_ns   # monotonic less Unix time: fixed, so that a start keeps its time
 
     def parse(self, line: Any) -> tuple[int, bool, list[Listed]]:
@@ -77,9 +78,30 @@
             try:
                 listed.append(self._entry(row))
             except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-                log.warning("broken entry dropped: %r: %.200r", error, row)
+                log.warning("broken entry: %r: %.200r", error, row)
+                if (kept := self._mended(row)) is not None:
+                    listed.append(kept)
+        if whole:
+            self._last.clear()
+        for item in listed:
+            self._last[item.entry.host] = item
+            if item.entry.state is HostState.GONE:
+                del self._last[item.entry.host]
         return generation, whole, listed
 
+    def _mended(self, row: Any) -> Listed | None:
+        """A broken entry of a host that is known: as it was, but for a state that can be read.
+
+        Guards against a host that goes because of a figure that can't be read, and one that drains unheard.
+        """
+        if not isinstance(row, dict) or not isinstance(row.get("instanceId"), str):
+            return None
+        known = self._last.get(row["instanceId"])
+        state = STATES.get(row["lifecycle"]) if isinstance(row.get("lifecycle"), str) else None
+        if known is None or state is None:
+            return known
+        return known._replace(entry=known.entry._replace(state=state))
+
     def _entry(self, row: dict[str, Any]) -> Listed:
         address, _, port = row["hostPort"].rpartition(":")
         started, weight = int(row.get("startedAtMs") or 0), float(row.get("weight", 1.0))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -296,3 +296,18 @@
         fake.raw(writer, WHOLE + b"\n")
         await until(lambda: discovery.generation == 43)
     play(scene)
+
+
+def test_a_broken_entry_of_a_known_host_costs_no_change_and_makes_none() -> None:
+    lines = Lines(["a", "b"], ["m1", "m2"], 0)
+    lines.parse({"generation": 41, "instances": [ROW, {**ROW, "instanceId": "h1"}]})
+    broken = {**ROW, "zone": "z"}
+    for row, state in ((broken, HostState.READY), ({**broken, "lifecycle": "odd"}, HostState.READY),
+                       ({"instanceId": "h0", "lifecycle": "terminating"}, HostState.DRAINING),
+                       ({**broken, "lifecycle": ["x"]}, HostState.DRAINING)):
+        _, _, listed = lines.parse({"generation": 42, "reset": True, "instances": [row]})
+        assert [(item.entry.host, item.entry.state, item.entry.zone) for item in listed] == [("h0", state, 1)]
+    assert lines.parse({"generation": 43, "instances": [{**broken, "instanceId": "h1"}]})[2] == []   # not listed now
+    _, _, [gone] = lines.parse({"generation": 44, "instances": [{**broken, "lifecycle": "terminated"}]})
+    assert gone.entry.state is HostState.GONE
+    assert lines.parse({"generation": 45, "instances": [broken]})[2] == []
