SIGHUP in the first moments ends nothing and loses no file; one hand-over file from the first step on

Causes, by reading: program.py `main` set no handler before the configuration was read, so SIGHUP then ended the program; `start` told the known list after it had waited for the operators' address, so a list that SIGHUP brought meanwhile was replaced by the older one; __main__.py gave the early hand-over file up before the program had one of its own, and an old process that looked in between (every 0.25 s) took all descriptors for its own. Change: a SIGHUP that comes early is kept and acted on once the loop runs; the known list is told before anything is waited for; the program takes the early file over. The hand-over test asks for no gap now, which is stricter. Ruled out: a listener after SIGTERM, alone or beside SIGHUP, while the first list is waited for (3 scenes pass before). Tests: 3 of the 7 scenes fail on the code before, seen.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -63,10 +63,7 @@
             importlib.import_module(name)
             if name == HANDOVER:
                 early = _announced()
-    program = importlib.import_module("gateway.program")
-    if early is not None:
-        early.close()   # the program has a file of its own
-    return int(program.main())
+    return int(importlib.import_module("gateway.program").main(early))
 
 
 if __name__ == "__main__":
--- a/gateway/handover.py
+++ b/gateway/handover.py
@@ -38,7 +38,7 @@
 
     def register(self) -> None:
         """Tell others that this process lives.  Where no file can be written, it is alone."""
-        if self._alone:
+        if self._alone or self._path:
             return
         try:
             # Locked before it has its name: guards against being taken for a leftover.
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -12,7 +12,7 @@
 import socket
 import sys
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -150,7 +150,8 @@
 class Gateway:
     """The parts, wired together."""
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, make: Maker = Balancer) -> None:
+    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, make: Maker = Balancer,
+                 handover: Handover | None = None) -> None:
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self._sockets = min(config.sockets, soft if soft > 0 else config.sockets)
         self._loop = loop
@@ -160,7 +161,7 @@
         self._columns = config.columns
         self.timers = Timers(loop)
         self.stats = Stats()
-        self.handover = Handover(config.listen)
+        self.handover = handover or Handover(config.listen)
         clients, hosts = self._room()
         self.room = Room(self._bytes())
         self.core = Core(settings, config.seed, self.timers, config.columns, make)
@@ -196,11 +197,11 @@
         """Begin to watch and, once clients can be served, to listen; returns the address."""
         self.handover.register()
         beside = self._look()
+        self.discovery.known(self._config.known)   # before anything is waited for: SIGHUP may bring a newer list
+        self.discovery.start()
         if self._config.operator is not None:
             self.operator = await self.admin.listen(self._loop, self._config.operator)
             log.info("operators call %s:%d", *self.operator)
-        self.discovery.known(self._config.known)
-        self.discovery.start()
         self.timers.after(SWEEP, self._sweep, None)
         self.timers.after(BESIDE, self._looked, None)
         if beside:   # the other one serves meanwhile; a bound socket would draw clients at once
@@ -223,11 +224,13 @@
         log.info("listening on %s:%d", *name)
         return name
 
-    async def run(self) -> None:
-        """Serve until told to stop."""
-        self._loop.add_signal_handler(signal.SIGHUP, self.reload)   # first: its default ends the program
+    async def run(self, early: Sequence[int] = ()) -> None:
+        """Serve until told to stop; `early` is not empty where SIGHUP came before this."""
+        self._loop.add_signal_handler(signal.SIGHUP, self.reload)
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self.stop)
+        if early:
+            self.reload()
         try:
             await self.start()
         except OSError as error:
@@ -387,12 +390,18 @@
     return sock
 
 
-async def _main(config: Config) -> None:
-    await Gateway(config, asyncio.get_running_loop()).run()
+async def _main(config: Config, handover: Handover | None, early: list[int]) -> None:
+    await Gateway(config, asyncio.get_running_loop(), handover=handover).run(early)
+
 
+def main(handover: Handover | None = None) -> int:
+    """Run as a program; 0 after SIGTERM, 2 if the configuration is of no use.
 
-def main() -> int:
-    """Run as a program; 0 after SIGTERM, 2 if the configuration is of no use."""
+    `handover` is this process's file where it has one: given up and made anew it would be gone for a moment, in which
+    the other process takes itself to be alone.
+    """
+    early: list[int] = []   # its default would end the program, and the file that is read next may be the old one
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     handler = logging.StreamHandler()
     handler.addFilter(_Sparing())
     logging.basicConfig(level=logging.INFO, handlers=[handler], format="%(asctime)s %(name)s %(message)s")
@@ -404,7 +413,7 @@
     gc.freeze()   # what is loaded by now lives as long as the process: the collector need not look again
     gc.set_threshold(50_000, 20, 50)
     try:
-        uvloop.run(_main(config))
+        uvloop.run(_main(config, handover, early))
     except BadConfig as error:
         print(f"gateway: {error}", file=sys.stderr)
         return 1
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -259,14 +259,15 @@
         told.append(serving.beside())
         return real(name)
 
-    def main() -> int:
+    def main(handover: Handover) -> int:
         told.append(serving.beside())
+        handover.close()
         return 0
     monkeypatch.setattr(importlib, "import_module", step)
     monkeypatch.setattr(program, "main", main)
     assert start() == 0
     assert told[0] is False          # at its first step
-    assert told[-2:] == [True, False]   # and once the program has a file of its own
+    assert told[-2:] == [True, True]   # and without a gap, as the program takes the same file over
     serving.close()
 
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -11,12 +11,13 @@
 
 import pytest
 
-from bridgesaddle.api import MS, SECOND, HostState, Outcome
+from bridgesaddle.api import MS, SECOND, HostState, ListKind, Outcome
+from gateway.handover import Handover
 from gateway.server import ARRIVE, DRAIN_IDLE, IDLE, LINGER
 from gateway.timers import now_ns
 from gateway.upstream import Attempt
 from tests.sockets import OK, SETTINGS, FakeDiscovery, FakeHost, Stage, play, request, rested, until
-from tests.test_process import connect, launch, write_config
+from tests.test_process import COMMAND, ROOT, connect, free_port, launch, write_config
 from tests.test_upstream import HEAD, Bench, silent_listener
 
 # ---- Repeats ------------------------------------------------------------------------------------------------
@@ -320,6 +321,19 @@
         readers = []
         for number in range(3):
             reader, writer = await asyncio.open_connection(*where)
+def spawned(folder: Path) -> list[int]:
+    """The process that has this folder's configuration in its environment."""
+    wanted = f"EDGE_CONFIG={folder}/c".encode()
+    found = []
+    for entry in Path("/proc").iterdir():
+        try:
+            if entry.name.isdigit() and wanted in (entry / "environ").read_bytes().split(b"\0"):
+                found.append(int(entry.name))
+        except OSError:
+            continue   # it has ended, or is somebody else's
+    return found
+
+
             if number:
                 writer.write(request(rid=f"r{number}"))
                 await reader.readuntil(b"done")
@@ -392,3 +406,91 @@
         writer.close()
         assert await program.wait() == 0
     play(scene)
+
+
+def test_what_waits_at_the_listener_as_it_closes_is_taken_and_answered() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            await stage.begin(FakeHost())
+            loop = asyncio.get_running_loop()
+            with socket.create_connection(stage.where) as sock:   # the kernel has let it in, the gateway has not
+                sock.setblocking(False)
+                sock.send(request())
+                stage.gateway.stop()
+                stage.gateway._stop_listening(None)
+                assert (await loop.sock_recv(sock, 1000)).endswith(b"done")
+    play(scene)
+
+
+# ---- The first moments --------------------------------------------------------------------------------------
+
+
+def test_sighup_before_the_configuration_is_read_ends_nothing_and_loses_no_file(tmp_path: Path) -> None:
+    async def scene() -> None:
+        host, old, new = await FakeHost().start(), await FakeDiscovery().start(), await FakeDiscovery().start()
+        config = write_config(tmp_path / "c", old, host)
+        (tmp_path / "c").unlink()
+        os.mkfifo(tmp_path / "c")   # the program waits for the file for as long as this scene wants
+        program = asyncio.create_task(launch(tmp_path / "c"))
+        for discovery in (old, new):
+            writing = await asyncio.to_thread(os.open, tmp_path / "c", os.O_WRONLY)
+            if discovery is old:
+                await until(lambda: bool(spawned(tmp_path)), lambda: asyncio.sleep(0))
+                os.kill(spawned(tmp_path)[0], signal.SIGHUP)
+            os.write(writing, json.dumps({**config, "discovery": discovery.address}).encode())
+            os.close(writing)
+        process, _ = await program
+        assert "watch=1" in (await new.calls.get())[0]
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+    play(scene)
+
+
+@pytest.mark.parametrize("signals", [(signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM),
+                                     (signal.SIGTERM, signal.SIGHUP)])
+def test_signals_while_the_first_list_is_waited_for(
+        signals: tuple[signal.Signals, ...], tmp_path: Path, free_port: int) -> None:
+    async def scene() -> None:
+        discovery = await FakeDiscovery().start()
+        config = write_config(tmp_path / "c", discovery)
+        address = f"127.0.0.1:{free_port}"
+        (tmp_path / "c").write_text(json.dumps({**config, "listen": address}))
+        other = Handover(("127.0.0.1", free_port), str(tmp_path))
+        other.register()   # beside it the program takes no clients before it has a list
+        program = await asyncio.create_subprocess_exec(
+            *COMMAND, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "EDGE_CONFIG": str(tmp_path / "c"), "TMPDIR": str(tmp_path)})
+        await discovery.calls.get()   # it waits
+        for number in signals:
+            program.send_signal(number)
+        _, said = await program.communicate()
+        assert (program.returncode, b"Traceback" in said, b"listening" in said) == (0, False, False)
+        other.close()
+    play(scene)
+
+
+def test_a_list_that_sighup_brings_in_the_first_moments_is_not_replaced_by_the_known_one(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            told: list[ListKind] = []
+            await stage.begin(rows=[])
+            gateway = stage.gateway
+            monkeypatch.setattr(gateway.core, "on_list", lambda kind, _: told.append(kind))
+            listening = asyncio.Event()
+
+            async def listen(*_: object) -> tuple[str, int]:
+                await listening.wait()   # the operators' address takes its time
+                return "", 0
+            monkeypatch.setattr(gateway.admin, "listen", listen)
+            monkeypatch.setattr(gateway._config, "operator", ("", 0))
+            again = asyncio.create_task(gateway.start())
+            await asyncio.sleep(0)
+            gateway._on_list(ListKind.FULL, [])   # what a watch tells meanwhile
+            listening.set()
+            await again
+            assert told[-1] is ListKind.FULL
+    play(scene)
+
+
+__all__ = ["free_port"]
