--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -535,10 +535,11 @@
             attempt.end(Outcome.CONNECT_FAILED)
             return
         rested = now_ns() - REST
+        stale = now_ns() - self._idle   # its host may close it in this moment, and the sweep comes late
         for at in range(len(host.idle) - 1, -1, -1):
             if host.idle[at].idle_at <= rested:
                 conn = host.idle.pop(at)
-                if conn.fresh():
+                if conn.idle_at > stale and conn.fresh():
                     conn.send(attempt)
                     return
                 conn.close()
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import os
 import signal
 import socket
 import struct
@@ -136,6 +137,19 @@
     play(scene)
 
 
+def test_a_connection_past_its_hosts_idle_time_is_not_chosen_before_the_sweep() -> None:
+    async def scene() -> None:
+        bench, host = Bench(), await FakeHost().start()
+        bench.upstream.on_settings(SECOND, 100 * MS)   # shorter than the time between two sweeps
+        bench.tell(host.address)
+        assert (await bench.start()[1])[0] is Outcome.OK
+        since = now_ns()
+        await until(lambda: now_ns() - since > 100 * MS)
+        assert (await bench.start()[1])[0] is Outcome.OK
+        assert host.connections == 2
+    play(scene)
+
+
 # ---- Clients that leave -------------------------------------------------------------------------------------
 
 
@@ -307,6 +321,19 @@
 SHORT = [{**item, "give-up-ns": 400_000_000, "slo-ns": 400_000_000} for item in SETTINGS["request-classes"]]
 
 
+def spawned(folder: Path) -> list[int]:
+    """The process that has this folder's configuration in its environment."""
+    wanted = f"EDGE_CONFIG={folder}/c".encode()
+    found = []
+    for entry in Path("/proc").iterdir():
+        try:
+            if entry.name.isdigit() and wanted in (entry / "environ").read_bytes().split(b"\0"):
+                found.append(int(entry.name))
+        except OSError:
+            continue   # it has ended, or is somebody else's
+    return found
+
+
 def short(path: Path, discovery: FakeDiscovery, *hosts: FakeHost) -> None:
     """A configuration whose longest deadline is shorter than a drained connection is left idle."""
     config = write_config(path, discovery, *hosts)
@@ -321,19 +348,6 @@
         readers = []
         for number in range(3):
             reader, writer = await asyncio.open_connection(*where)
-def spawned(folder: Path) -> list[int]:
-    """The process that has this folder's configuration in its environment."""
-    wanted = f"EDGE_CONFIG={folder}/c".encode()
-    found = []
-    for entry in Path("/proc").iterdir():
-        try:
-            if entry.name.isdigit() and wanted in (entry / "environ").read_bytes().split(b"\0"):
-                found.append(int(entry.name))
-        except OSError:
-            continue   # it has ended, or is somebody else's
-    return found
-
-
             if number:
                 writer.write(request(rid=f"r{number}"))
                 await reader.readuntil(b"done")
