Settings with fewer zones: a retry bound to a zone that is gone finds no place instead of an error

Cause, by reading: decide.py `_permitted` took the ready hosts of the anchor's zone by its number, past the end of a list that new settings had made shorter; the event failed and the gateway answered in the module's place.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -973,7 +973,10 @@
         anchor, cls = request.anchor, request.cls
         if anchor is None or cls.effect is not Effect.KEYED or cls.group is Group.ALL:
             return self._near.servers
-        return self._cells.get(anchor.cell, []) if cls.group is Group.CELL else self._ready[anchor.zone]
+        if cls.group is Group.CELL:
+            return self._cells.get(anchor.cell, [])
+        # New settings may have fewer zones.
+        return self._ready[anchor.zone] if anchor.zone < len(self._ready) else []
 
     def _overdue(self, attempt: _Attempt, now: int) -> None:
         """Late notice: guards against a silent server that holds requests which may not be tried again.
