A host's 400 speaks of the request: it fails at once and nothing is held against the host

Each counted as the host's error: retried on other hosts on gaps of T1 and more, so that some such peers had no word within 3 s, and each marked a healthy host as failing (one failure is enough where it is fresh). Ruled out: that these peers could be told apart here; what they send is proper but for an id that no client has. Lines at fault: upstream.py `_outcome`. 404 stays an error, as it says nothing of a request that names an id. Change: a new outcome REJECTED, no evidence against a host, after which the module fails the request. Tests: one of the module, one row of the table, the random histories have it; the first fails on the code before, seen.

--- a/bridgesaddle/api.py
+++ b/bridgesaddle/api.py
@@ -48,10 +48,14 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
+    REJECTED = "rejected"
+    """The host has found the request itself wrong: nothing against the host, and no other will take it."""
 
 
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
 """Outcomes that prove that the attempt did not run on the server."""
+NO_EVIDENCE = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))
+"""Outcomes that say nothing against the server."""
 
 
 class HostState(IntEnum):
--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -17,6 +17,7 @@
 
 from .api import (
     NEVER_RAN,
+    NO_EVIDENCE,
     SECOND,
     Actions,
     Effect,
@@ -697,7 +698,7 @@
         if not timer and request.deadline - now > request.t1:
             self._wake(attempt, request.t1)
 
-    def _end(self, request: _Request, now: int) -> None:
+    def _end(self, request: _Request, now: int, harmless: bool = True) -> None:
         """The one final answer, given once."""
         if request.done or request.streaming:
             return
@@ -705,7 +706,7 @@
         if self._set.limits.cancel:
             for number in request.live:
                 self._act.cancel(request.rid, number)
-        if self._may_refuse(request):
+        if harmless and self._may_refuse(request):
             self._act.refuse(request.rid, request.t1 if self._set.limits.retry_after else 0)
         else:
             self._act.fail(request.rid)
@@ -789,13 +790,16 @@
             self._served_one(request, server, spent_ns, load, now)
             usual = request.cls.usual * (request.hint or 1)
             self._work += LATENCY_W * (usual - self._work) if self._work else usual
-        elif outcome is not Outcome.CANCELLED and outcome is not Outcome.MOOT and not attempt.overdue:
+        elif outcome not in NO_EVIDENCE and not attempt.overdue:
             self._failed_one(request, server, outcome, spent_ns, now)
         if settled:
             at = request.first_at or now   # a long answer is timed by its first bytes
             self._drop(request, outcome is not Outcome.OK or at > request.born + request.aim)
         if request.done:
             return
+        if outcome is Outcome.REJECTED:
+            self._end(request, now, harmless=False)
+            return
         if outcome in NEVER_RAN and not request.live and request.anchor is server \
                 and request.anchor_at == request.sent_at:
             request.anchor = None
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -472,7 +472,7 @@
         marks = [value for name, value in answer.headers if name.lower() == b"x-not-processed"]
         if marks == [b"1"]:
             return Outcome.FULL
-    return Outcome.ERROR
+    return Outcome.REJECTED if answer.status == 400 else Outcome.ERROR
 
 
 class Upstream:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -707,3 +707,26 @@
         gateway.outcome(rid, Outcome.OK)
     assert pool.inflight == 0
     assert gateway.ends == {coming: "served", going: "served"}
+
+
+def test_a_request_that_its_host_finds_wrong_has_failed_and_says_nothing_against_the_host() -> None:
+    gateway = Gateway(some_settings(a_class(), a_class(Effect.KEYED, name="k")), [entry("h0"), entry("h1")])
+    settle(gateway, 20, 20 * MS)
+    for number in range(10):
+        rid = gateway.request(number % 2)
+        gateway.outcome(rid, Outcome.REJECTED)
+        assert gateway.ends[rid] == "fail"   # at once: no other host would take it, and again it would be as wrong
+    assert len(gateway.sends) == 30
+    assert gateway.module.members_unavailable(gateway.now) == 0
+    assert not gateway.broken
+
+
+def test_settings_with_fewer_zones_leave_a_retry_in_a_zone_that_is_gone_without_a_place() -> None:
+    classes = (a_class(Effect.KEYED, Group.ZONE),)
+    gateway = Gateway(some_settings(*classes, zones=3), [entry("h0", zone=2), entry("h1", zone=2)])
+    rid = gateway.request()
+    gateway.outcome(rid, Outcome.RESET)
+    gateway.module.on_settings(gateway.now, some_settings(*classes, zones=1))
+    gateway.run(gateway.now + SECOND)
+    assert gateway.ends[rid] == "fail"
+    assert not gateway.broken
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -19,7 +19,7 @@
     a_class(stream=True),
 )
 OUTCOMES = [Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET,
-            Outcome.CANCELLED]
+            Outcome.CANCELLED, Outcome.REJECTED]
 
 # Requests, outcomes and time come often, so that long histories of one request are common.
 KINDS = [*["request"] * 6, *["outcome"] * 8, *["time"] * 8, "twice", "first", "gone", "drain", "lost",
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -80,6 +80,7 @@
     (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", False, Outcome.OK),
     (b"HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n", False, Outcome.ERROR),
     (b"HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", False, Outcome.ERROR),
+    (b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", False, Outcome.REJECTED),
     (b"HTTP/1.1 503 " + TURNED_AWAY, False, Outcome.FULL),
     (b"HTTP/1.1 504 " + TURNED_AWAY, False, Outcome.FULL),
     (b"HTTP/1.1 500 " + TURNED_AWAY, False, Outcome.ERROR),
