--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -51,7 +51,7 @@
 # Placement.
 DRAWS = 6            # fresh pairs drawn before an original takes a server that it would rather avoid
 SCAN = 8             # other zone servers a gated retry looks at: the cost of a retry stays bounded
-SHUN = 0.6           # q_avg in T1 at which p is one half: originals look for another server
+EJECT = 0.6          # q_avg in T1 at which p is one half: originals look for another server
 RATIO_W = 0.1        # weight of one answer in a server's latency relative to its class
 RATIO_MAX = 8.0      # one answer counts for at most so many times its class's mean
 
@@ -68,8 +68,8 @@
 LIMIT_FALL = 8.0     # and the steepest fall, in such steps
 LIMIT_AIM = 0.14     # pool delay that a limit settles at, in T1: under the lower threshold of the gate
 LIMIT_NEAR = 0.75    # a limit grows only where so much of it is used
-ARC = 3.0            # servers a gateway draws from, in fair shares: their users differ little in number
-ARC_MIN = 2          # and at least so many: a choice of two needs some to choose from
+SUBSET = 3.0         # servers a gateway draws from, in fair shares: their users differ little in number
+SUBSET_MIN = 2       # and at least so many: a choice of two needs some to choose from
 HOLD_AIM = 0.5       # a request is held for this share of its aim at most
 HELD_MOST = 0.5      # part of the clients' connections that held requests may take
 HELD_SLACK = 32      # ended requests that the heap of held ones may carry before it is built anew
@@ -378,7 +378,7 @@
         near = self._ready[self._set.zone]
         fair = self._fair = (len(near) + len(self._remote)) / self._set.replicas
         for side, servers in ((self._near, near), (self._far, self._remote)):
-            side.servers = self._arc(servers, fair)
+            side.servers = self._subset(servers, fair)
             # Hundreds of gateways with a whole request each would jam a small fleet at their start.
             # Only with servers: guards against a start from an empty list, whose limit stayed at the least.
             if servers and not side.limit:
@@ -388,7 +388,7 @@
         """How many gateways draw from a server of each zone, where they are spread evenly over the zones."""
         total = sum(len(ready) for ready in self._ready)
         a_zone = self._set.replicas / self._set.zones
-        size = self._arc_size(total / self._set.replicas)
+        size = self._subset_size(total / self._set.replicas)
         near = [min(1.0, size / max(1, len(ready))) for ready in self._ready]
         far = [min(1.0, size / max(1, total - len(ready))) for ready in self._ready]
         self._users = [a_zone * (near[zone] + sum(far) - far[zone]) for zone in range(len(near))]
@@ -530,7 +530,7 @@
                 # Nothing is sent to the sick: guards against full or silent servers that never drain, as
                 # gateways that draw from nothing else go on feeding them.  Could do harm after a fault of
                 # all: each waits until its evidence has decayed, which doubles with failures in a row.
-                if server is not None and not self._shunned(server, request.t1, now):
+                if server is not None and not self._ejected(server, request.t1, now):
                     return server
         return None
 
@@ -552,7 +552,7 @@
                 # Fewest of ours in flight, by told size and own answers: of two idle servers the faster
                 # is the better one, and an overfed large one shows it in its latency.
                 load = (server.inflight + 1) * server.ratio / server.weight
-                key = (self._shunned(server, request.t1, now), load)
+                key = (self._ejected(server, request.t1, now), load)
                 if best_key is None or key < best_key:
                     best, best_key = server, key
             if best is not None and best_key is not None and not best_key[0] and not best.inflight:
@@ -866,7 +866,7 @@
         now = max(now_ns, self._now)
         longest = max([POOL_T1, *(self._usual_t1(cls.mean + T1_DEVIATIONS * cls.spread, cls.aim)
                                   for cls in self._classes)])
-        return sum(server.state is not HostState.READY or self._shunned(server, longest, now)
+        return sum(server.state is not HostState.READY or self._ejected(server, longest, now)
                    for server in self._servers.values())
 
     def _tick(self, now_ns: int) -> int:
@@ -959,9 +959,9 @@
             else:
                 self._send(request, server, now)
 
-    def _arc(self, servers: list[_Server], fair: float) -> list[_Server]:
+    def _subset(self, servers: list[_Server], fair: float) -> list[_Server]:
         """Subsetting: a gateway that sees little draws from a part, where its own in-flight tells more."""
-        size = self._arc_size(fair)
+        size = self._subset_size(fair)
         if size >= len(servers):
             return list(servers)
         ring = sorted(servers, key=lambda server: (crc32(repr(server.host).encode()), repr(server.host)))
@@ -969,8 +969,8 @@
         return [ring[(start + step) % len(ring)] for step in range(size)]
 
     @staticmethod
-    def _arc_size(fair: float) -> int:
-        return max(ARC_MIN, ceil(ARC * fair))
+    def _subset_size(fair: float) -> int:
+        return max(SUBSET_MIN, ceil(SUBSET * fair))
 
     def _permitted(self, request: _Request) -> list[_Server]:
         """Where a retry may go: the near pool, or the group that drops repeats of what may have run."""
@@ -1041,12 +1041,12 @@
         excess = self._q(self._near, POOL_T1, now) - max(0.0, self._q(self._far, POOL_T1, now))
         return (SPILL_FROM + self._random() * SPILL_RANGE) * POOL_T1 < excess
 
-    def _shunned(self, server: _Server, t1: int, now: int) -> bool:
-        """Health: originals avoid a server that fails and would turn a retry away more often than not.
+    def _ejected(self, server: _Server, t1: int, now: int) -> bool:
+        """Outlier ejection: originals avoid a server that fails and would turn away more retries than not.
 
-        Delay alone does not shun: long work marks healthy servers, and herding off them jams the rest.
+        Delay alone does not eject: long work marks healthy servers, and herding off them jams the rest.
         """
-        return server.bad > BAD and self._q(server, t1, now) > SHUN * t1
+        return server.bad > BAD and self._q(server, t1, now) > EJECT * t1
 
     def _warmth(self, server: _Server, now: int) -> float:
         """The share of its capacity that a starting server is sure to have."""
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -22,7 +22,7 @@
 HEARTBEAT = 2 * SECOND
 """An empty line comes so often while nothing changes."""
 SILENT = 3 * SECOND
-"""A watch that has been silent so long is dead: one beat missed and half of one more.
+"""A watch that has been silent so long is dead: one heartbeat missed and half of one more.
 
 What discovery has to tell counts as told 6 s later at the latest, so the next watch must have spoken by then.
 """
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -78,7 +78,7 @@
     assert sent < 3.0 * 0.3 * 12.5 * 2
 
 
-def test_a_server_that_only_refuses_is_shunned() -> None:
+def test_a_server_that_only_refuses_is_ejected() -> None:
     """A hung server with a full queue answered 'full' each time and was taken for healed each time."""
     gateway = Gateway(some_settings(), [entry("good"), entry("full")])
     for _ in range(60):
@@ -305,7 +305,7 @@
     server = gateway.module._servers["h"]
     for at in (1, 2):
         gateway.module._observe(server, SECOND, SECOND, at * SECOND, failed=True)
-    assert gateway.module._shunned(server, 75 * MS, 3400 * MS)
+    assert gateway.module._ejected(server, 75 * MS, 3400 * MS)
 
 
 def test_silence_towards_requests_with_little_time_left_counts() -> None:
