--- a/gateway/server.py
+++ b/gateway/server.py
@@ -755,8 +755,11 @@
     def lingers(self, conn: ClientConnection) -> None:
         """A connection waits for its client to close; not many may, as each keeps a descriptor."""
         self._lingering[conn] = None
+        self._timers.after(LINGER + MS, lambda _: conn.sweep(now_ns()), None)   # a drain has no time for the next one
         if len(self._lingering) > SPARE and len(self._connections) > self.max_open:
-            next(iter(self._lingering)).hurry()
+            oldest = next(iter(self._lingering))
+            del self._lingering[oldest]
+            oldest.hurry()
 
     def end(self) -> None:
         """The program is about to end: nothing more is taken; called again until nothing is open."""
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -280,6 +280,25 @@
     play(scene)
 
 
+def test_a_drained_client_that_does_not_close_is_closed_without_waiting_for_a_sweep(
+        monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            monkeypatch.setattr("gateway.program.SWEEP", 60 * SECOND)
+            await stage.begin(FakeHost())
+            server = stage.gateway.server
+            with socket.create_connection(stage.where) as sock:
+                sock.setblocking(False)
+                await until(lambda: server.open == 1)
+                server.draining = True
+                server.sweep(now_ns() + ARRIVE + MS)
+                assert await asyncio.get_running_loop().sock_recv(sock, 100) == b""   # it has been told
+                since = now_ns()
+                await until(lambda: server.open == 0)   # 4 s after a drain nothing may be held
+                assert now_ns() - since < LINGER + 500 * MS
+    play(scene)
+
+
 def test_a_peer_whose_noise_crosses_the_end_of_its_time_is_told_or_closed_all_the_same() -> None:
     async def scene() -> None:
         async with Stage() as stage:
@@ -446,13 +465,13 @@
         (tmp_path / "c").unlink()
         os.mkfifo(tmp_path / "c")   # the program waits for the file for as long as this scene wants
         program = asyncio.create_task(launch(tmp_path / "c"))
-        for discovery in (old, new):
-            writing = await asyncio.to_thread(os.open, tmp_path / "c", os.O_WRONLY)
-            if discovery is old:
-                await until(lambda: bool(spawned(tmp_path)), lambda: asyncio.sleep(0))
-                os.kill(spawned(tmp_path)[0], signal.SIGHUP)
-            os.write(writing, json.dumps({**config, "discovery": discovery.address}).encode())
-            os.close(writing)
+        writing = await asyncio.to_thread(os.open, tmp_path / "c", os.O_WRONLY)   # once it is being read
+        (number,) = spawned(tmp_path)
+        os.kill(number, signal.SIGHUP)
+        os.write(writing, json.dumps(config).encode())
+        (tmp_path / "next").write_text(json.dumps({**config, "discovery": new.address}))
+        os.replace(tmp_path / "next", tmp_path / "c")
+        os.close(writing)
         process, _ = await program
         assert "watch=1" in (await new.calls.get())[0]
         process.send_signal(signal.SIGTERM)
