A request that may never be sent again has failed at once, not near the end of its time

Change: `_spent` asks that in one place, for the choice of a host and for the wait. A copy that did not reach its host within its window is moot now, nothing against the host. The new test fails on the code before for both effects, seen.

--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -607,7 +607,8 @@
         self._due(request, now + gap, now)
 
     def _due(self, request: _Request, due: int, now: int) -> None:
-        if due >= request.deadline - self._set.tick_ns or request.attempts >= request.most:
+        if due >= request.deadline - self._set.tick_ns or request.attempts >= request.most \
+                or self._spent(request, now):
             self._end(request, now)
             return
         request.due = due
@@ -646,17 +647,22 @@
         anchor = request.anchor
         if anchor is not None:
             cls = request.cls
-            if cls.effect is Effect.UNSAFE:
+            if self._spent(request, now):
                 return False
             if cls.effect is Effect.KEYED:
-                if now >= request.anchor_at + cls.window - self._set.tick_ns:
-                    return False
                 if cls.group is not Group.ALL and server.zone != anchor.zone:
                     return False
                 if cls.group is Group.CELL and server.cell != anchor.cell:
                     return False
         return server.cold_until <= now or self._cold_room(server, now)
 
+    def _spent(self, request: _Request, now: int) -> bool:
+        """Whether no host may get a copy any more: to wait on is only to tell the same end later."""
+        cls = request.cls
+        if request.anchor is None or cls.effect is Effect.SAFE:
+            return False
+        return cls.effect is Effect.UNSAFE or now >= request.anchor_at + cls.window - self._set.tick_ns
+
     def _begin_within(self, request: _Request, now: int) -> int:
         """How late a copy of what may have run may still reach its host: 0 for what is no such copy.
 
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -597,7 +597,7 @@
     def _too_late(self, attempt: Attempt) -> None:
         """A copy of which the last byte is not written by now would be begun past the window for repeats."""
         if not attempt.over and not attempt.written():
-            self._stop(attempt, Outcome.CONNECT_FAILED)
+            self._stop(attempt, Outcome.MOOT)   # nothing against a host that may have had some milliseconds only
 
     def _stop(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.conn is not None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -730,3 +730,16 @@
     gateway.run(gateway.now + SECOND)
     assert gateway.ends[rid] == "fail"
     assert not gateway.broken
+
+
+@pytest.mark.parametrize(("effect", "window"), [(Effect.UNSAFE, 0), (Effect.KEYED, 200 * MS)])
+def test_a_request_that_may_never_be_sent_again_has_failed_at_once(effect: Effect, window: int) -> None:
+    """It was held until its time was nearly over, and its client could not come again."""
+    gateway = Gateway(some_settings(a_class(effect, window_ns=window, deadline_ns=4 * SECOND)),
+                      [entry("h0"), entry("h1")])
+    rid = gateway.request()
+    gateway.run(250 * MS)
+    gateway.outcome(rid, Outcome.RESET)
+    assert gateway.ends[rid] in ("fail", "refuse")
+    assert len(gateway.sends) == 1
+    assert not gateway.broken
