--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -55,14 +55,6 @@
             return program, (host, int(port))
 
 
-@pytest.fixture
-def free_port() -> int:
-    """A port that nobody listens on."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        number: int = server.getsockname()[1]
-        return number
-
-
 async def connect(where: tuple[str, int]) -> Client:
     return Client(*await asyncio.open_connection(*where))
 
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -18,8 +18,8 @@
 from gateway.timers import now_ns
 from gateway.upstream import Attempt
 from tests.sockets import OK, SETTINGS, FakeDiscovery, FakeHost, Stage, play, request, rested, until
-from tests.test_process import COMMAND, ROOT, connect, free_port, launch, write_config
-from tests.test_upstream import HEAD, Bench, silent_listener
+from tests.test_process import COMMAND, ROOT, connect, launch, write_config
+from tests.test_upstream import HEAD, Bench, all_silent, silent_listener
 
 # ---- Repeats ------------------------------------------------------------------------------------------------
 
@@ -35,7 +35,7 @@
 @pytest.mark.parametrize("within", [200 * MS, 0])
 def test_a_copy_whose_connection_comes_up_after_the_window_for_repeats_is_not_written(within: int) -> None:
     async def scene() -> None:
-        bench, loop = Bench(), asyncio.get_running_loop()
+        bench = Bench()
         bench.upstream.on_settings(9 * SECOND, 15 * SECOND)   # the connection itself has all the time it wants
         listener, fill, address = silent_listener()
         with listener:
@@ -43,16 +43,7 @@
             attempt, ended = a_copy(within)
             bench.upstream.start(attempt)
             assert await ended is Outcome.MOOT
-            listener.setblocking(False)
-            for sock in fill:
-                sock.close()
-            while True:   # whoever is let in by now must be silent
-                try:
-                    conn, _ = await asyncio.wait_for(loop.sock_accept(listener), 0.3)
-                except TimeoutError:
-                    break
-                with conn:
-                    assert await loop.sock_recv(conn, 100) == b""
+            await all_silent(listener, fill)
     play(scene)
 
 
@@ -204,7 +195,6 @@
 def test_a_connection_that_comes_up_after_the_client_has_left_carries_nothing() -> None:
     async def scene() -> None:
         async with Stage() as stage:
-            loop = asyncio.get_running_loop()
             listener, fill, address = silent_listener()
             with listener:
                 host = FakeHost()
@@ -215,16 +205,7 @@
                 await until(lambda: stage.gateway.server.pending == 1)
                 client.writer.write_eof()
                 assert (await client.answer())[0] == 502
-                listener.setblocking(False)
-                for sock in fill:
-                    sock.close()
-                while True:
-                    try:
-                        conn, _ = await asyncio.wait_for(loop.sock_accept(listener), 1.5)
-                    except TimeoutError:
-                        break
-                    with conn:
-                        assert await loop.sock_recv(conn, 100) == b""
+                await all_silent(listener, fill, 1.5)
     play(scene)
 
 
@@ -353,17 +334,16 @@
     return found
 
 
-def short(path: Path, discovery: FakeDiscovery, *hosts: FakeHost) -> None:
-    """A configuration whose longest deadline is shorter than a drained connection is left idle."""
-    config = write_config(path, discovery, *hosts)
-    path.write_text(json.dumps({**config, "settings": {**SETTINGS, "request-classes": SHORT}}))
+async def short(folder: Path, host: FakeHost) -> tuple[asyncio.subprocess.Process, tuple[str, int]]:
+    """The program with a longest deadline that is shorter than a drained connection is left idle."""
+    config = write_config(folder / "c", await FakeDiscovery().start(), await host.start())
+    (folder / "c").write_text(json.dumps({**config, "settings": {**SETTINGS, "request-classes": SHORT}}))
+    return await launch(folder / "c")
 
 
 def test_with_short_deadlines_idle_connections_end_before_sigkill_and_none_is_reset(tmp_path: Path) -> None:
     async def scene() -> None:
-        host, discovery = await FakeHost().start(), await FakeDiscovery().start()
-        short(tmp_path / "c", discovery, host)
-        program, where = await launch(tmp_path / "c")
+        program, where = await short(tmp_path, FakeHost())
         readers = []
         for number in range(3):
             reader, writer = await asyncio.open_connection(*where)
@@ -382,9 +362,8 @@
 
 def test_what_is_held_as_the_program_ends_gets_a_whole_answer(tmp_path: Path) -> None:
     async def scene() -> None:
-        host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
-        short(tmp_path / "c", discovery, host)
-        program, where = await launch(tmp_path / "c")
+        host = FakeHost(reply=None)
+        program, where = await short(tmp_path, host)
         clients = [await connect(where) for _ in range(3)]
         program.send_signal(signal.SIGTERM)
         since = now_ns()
@@ -404,9 +383,8 @@
 
 def test_a_request_that_comes_as_the_program_ends_is_refused_unsent(tmp_path: Path) -> None:
     async def scene() -> None:
-        host, discovery = await FakeHost(reply=None).start(), await FakeDiscovery().start()
-        short(tmp_path / "c", discovery, host)
-        program, where = await launch(tmp_path / "c")
+        host = FakeHost(reply=None)
+        program, where = await short(tmp_path, host)
         client = await connect(where)
         client.send(b"POST /once/x HTTP/1.1\r\n")      # its head has begun
         program.send_signal(signal.SIGTERM)
@@ -524,6 +502,3 @@
             await again
             assert told[-1] is ListKind.FULL
     play(scene)
-
-
-__all__ = ["free_port"]
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -61,6 +61,21 @@
     return listener, fill, f"127.0.0.1:{listener.getsockname()[1]}"
 
 
+async def all_silent(listener: socket.socket, fill: list[socket.socket], wait_s: float = 0.3) -> None:
+    """Let in whoever still waits at a silent listener: each must end without a word."""
+    loop = asyncio.get_running_loop()
+    listener.setblocking(False)
+    for sock in fill:
+        sock.close()
+    while True:
+        try:
+            conn, _ = await asyncio.wait_for(loop.sock_accept(listener), wait_s)
+        except TimeoutError:
+            break
+        with conn:
+            assert await loop.sock_recv(conn, 100) == b""
+
+
 def test_a_connection_is_used_again() -> None:
     async def scene() -> None:
         async with Stage() as stage:
@@ -132,22 +147,13 @@
 @pytest.mark.parametrize("within", [9 * SECOND, 100 * MS])
 def test_a_connection_that_comes_up_late_sends_nothing(within: int) -> None:
     async def scene() -> None:
-        bench, loop = Bench(), asyncio.get_running_loop()
+        bench = Bench()
         listener, fill, address = silent_listener()
         with listener:
             bench.tell(address)
             _, result = bench.start(within)
             assert (await result)[0] is Outcome.CONNECT_FAILED
-            listener.setblocking(False)
-            for sock in fill:
-                sock.close()
-            while True:   # whoever is let in by now must be silent
-                try:
-                    conn, _ = await asyncio.wait_for(loop.sock_accept(listener), 0.3)
-                except TimeoutError:
-                    break
-                with conn:
-                    assert await loop.sock_recv(conn, 100) == b""
+            await all_silent(listener, fill)
     play(scene)
 
 
