--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -240,6 +240,19 @@
     play(scene)
 
 
+def test_a_connection_that_has_just_come_makes_no_room_for_another(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            monkeypatch.setattr("gateway.server.JUST_COME", 60 * SECOND)   # however slow this machine is
+            await stage.begin(FakeHost())
+            stage.gateway.server.max_open = 1
+            first = await stage.client()
+            await until(lambda: stage.gateway.server.open == 1)
+            assert (await (await stage.client()).ask(request(rid="more")))[0] == 503
+            assert (await first.ask(request()))[0] == 200
+    play(scene)
+
+
 def test_a_request_that_comes_after_the_end_of_sending_is_not_sent_on() -> None:
     async def scene() -> None:
         async with Stage() as stage:
