--- a/bridgesaddle/api.py
+++ b/bridgesaddle/api.py
@@ -262,7 +262,7 @@
     def send(self, rid: int, host: HostId, timeout_ns: int, begin_ns: int = 0) -> None:
         """Start an attempt; attempts of a request count from 0.  A time-out of 0: until the deadline.
 
-        Its last byte has to be written within `begin_ns`, or it could not connect; 0: within its time-out.
+        Its last byte has to be written within `begin_ns`, or it never runs; 0: within its time-out.
         """
 
     def fail(self, rid: int) -> None:
--- a/bridgesaddle/decide.py
+++ b/bridgesaddle/decide.py
@@ -640,20 +640,16 @@
         """Whether the four rules allow an attempt of this request at this server now."""
         if request.done or request.streaming or server.state is not HostState.READY:
             return False
-        if request.attempts >= request.most or now >= request.deadline:
+        if request.attempts >= request.most or now >= request.deadline or self._spent(request, now):
             return False
         if request.live and not self._set.limits.second_copies:
             return False
-        anchor = request.anchor
-        if anchor is not None:
-            cls = request.cls
-            if self._spent(request, now):
+        anchor, cls = request.anchor, request.cls
+        if anchor is not None and cls.effect is Effect.KEYED:
+            if cls.group is not Group.ALL and server.zone != anchor.zone:
+                return False
+            if cls.group is Group.CELL and server.cell != anchor.cell:
                 return False
-            if cls.effect is Effect.KEYED:
-                if cls.group is not Group.ALL and server.zone != anchor.zone:
-                    return False
-                if cls.group is Group.CELL and server.cell != anchor.cell:
-                    return False
         return server.cold_until <= now or self._cold_room(server, now)
 
     def _spent(self, request: _Request, now: int) -> bool:
@@ -661,7 +657,11 @@
         cls = request.cls
         if request.anchor is None or cls.effect is Effect.SAFE:
             return False
-        return cls.effect is Effect.UNSAFE or now >= request.anchor_at + cls.window - self._set.tick_ns
+        return cls.effect is Effect.UNSAFE or now >= self._window_end(request)
+
+    def _window_end(self, request: _Request) -> int:
+        """When the last copy of a keyed request that may have run must have reached its host."""
+        return request.anchor_at + request.cls.window - self._set.tick_ns
 
     def _begin_within(self, request: _Request, now: int) -> int:
         """How late a copy of what may have run may still reach its host: 0 for what is no such copy.
@@ -670,7 +670,7 @@
         """
         if request.anchor_at == now or request.anchor is None or request.cls.effect is not Effect.KEYED:
             return 0
-        return request.anchor_at + request.cls.window - self._set.tick_ns - now
+        return self._window_end(request) - now
 
     def _may_refuse(self, request: _Request) -> bool:
         """Whether the client may be told that trying again is harmless."""
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -19,7 +19,7 @@
 from .body import Body
 from .discovery import Discovery, Listed
 from .peers import Peers
-from .timers import Timers, now_ns
+from .timers import FAR, Timers, now_ns
 from .upstream import Answer, Attempt, Upstream
 
 log = logging.getLogger("gateway.core")
@@ -34,8 +34,6 @@
 """So long before the client's time is up, the gateway answers by itself if the module has not."""
 LEAVING = 200 * MS
 """So long after its client has ended its sending a request may still reach a host: it is not sent on after 0.3 s."""
-FAR = 1 << 62
-"""The time of what has no deadline."""
 MAX_OPEN = 1024
 """Requests held at once; with bodies of 64 KiB at most this bounds their memory."""
 
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -224,8 +224,7 @@
         try:
             self._cut()
         except BadLine as error:
-            log.warning("broken line dropped: %s", error)
-            self._owner.ended(self, "a broken line")
+            self._owner.broken(self, error)
         if self._done:
             self._owner.ended(self, "the answer has ended", failed=self._watch)
         elif self._objects.partial and not self.over:
@@ -377,9 +376,7 @@
             told = json.loads(text)
             generation, whole, entries = self._lines.parse(told)
         except (BadLine, ValueError, RecursionError) as error:
-            # Guards against a lost change: the call is given up and begun anew from the last good version.
-            log.warning("broken line dropped: %s", error)
-            self.ended(call, "a broken line")
+            self.broken(call, error)
             return
         whole = whole or call is self._fetch
         if why := self._doubt(told, generation, whole, entries):
@@ -391,6 +388,11 @@
         call.told = call.told or now_ns()
         self._tell(ListKind.FULL if whole else ListKind.DELTA, entries)
 
+    def broken(self, call: _Call, error: Exception) -> None:
+        """Guards against a lost change: the call is given up and begun anew from the last good version."""
+        log.warning("broken line dropped: %s", error)
+        self.ended(call, "a broken line")
+
     def cut_short(self, call: _Call) -> None:
         """An object has begun and is not whole: what was cut short shows only by nothing coming any more."""
         self._timers.after(self._patience, self._cut_short, (call, call.heard))
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -650,7 +650,7 @@
         elif self._in_message and not self.discarding and self._too_slow(now):
             self._reject(BadRequest(408, "the request was too slow"))
         elif self.between_requests() and waited > self._patience() and not self.retire():
-            self.server.sweep_again(self)   # whatever crosses it may be no request
+            self.server.sweep_after(JUST_COME, self)   # whatever crosses it may be no request
 
     def _too_slow(self, now: int) -> bool:
         """Judges the head by its time and the body by its progress, but for the time it was not read."""
@@ -685,7 +685,7 @@
             self.retire()
 
     def hurry(self) -> None:
-        """Its descriptor is needed: linger no longer."""
+        """Its descriptor is needed: close it now."""
         if self.transport is not None:
             self.transport.close()
 
@@ -729,8 +729,8 @@
                 if other is not conn and now - other.since > JUST_COME and other.retire():
                     return
             conn.surplus = True
-            if len(self._connections) > self.max_open + SPARE and conn.transport is not None:
-                conn.transport.close()
+            if len(self._connections) > self.max_open + SPARE:
+                conn.hurry()
 
     def paused(self, conn: ClientConnection) -> None:
         """A connection is read no further for now."""
@@ -755,7 +755,7 @@
     def lingers(self, conn: ClientConnection) -> None:
         """A connection waits for its client to close; not many may, as each keeps a descriptor."""
         self._lingering[conn] = None
-        self._timers.after(LINGER + MS, lambda _: conn.sweep(now_ns()), None)   # a drain has no time for the next one
+        self.sweep_after(LINGER + MS, conn)   # a drain has no time for the next one
         if len(self._lingering) > SPARE and len(self._connections) > self.max_open:
             oldest = next(iter(self._lingering))
             del self._lingering[oldest]
@@ -811,9 +811,9 @@
             conn.sweep(now)
         self.room.streams = sum(conn.streams for conn in self._connections if not conn.between_requests())
 
-    def sweep_again(self, conn: ClientConnection) -> None:
-        """Soon, as its time is up."""
-        self._timers.after(JUST_COME, lambda _: conn.sweep(now_ns()), None)
+    def sweep_after(self, delay_ns: int, conn: ClientConnection) -> None:
+        """Look after one connection sooner than all are."""
+        self._timers.after(delay_ns, lambda _: conn.sweep(now_ns()), None)
 
     @property
     def pending(self) -> int:
--- a/gateway/timers.py
+++ b/gateway/timers.py
@@ -8,7 +8,10 @@
 from time import monotonic_ns as now_ns
 from typing import Any
 
-__all__ = ["Timers", "now_ns"]
+__all__ = ["FAR", "Timers", "now_ns"]
+
+FAR = 1 << 62
+"""The time of what has no deadline."""
 
 
 class Timers:
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -19,7 +19,7 @@
 from .discovery import Listed
 from .kernel import waiting
 from .stats import Stats
-from .timers import Timers, now_ns
+from .timers import FAR, Timers, now_ns
 
 log = logging.getLogger("gateway.upstream")
 
@@ -82,7 +82,7 @@
 
     def __init__(self, host: HostId, number: int, payload: tuple[bytes, bytes], started: int, due: int,
                  ended: Callable[[Attempt, Outcome, Answer | None], None], probe: bool = False,
-                 receiver: Receiver | None = None, body: Body | None = None, begin_by: int = 1 << 62) -> None:
+                 receiver: Receiver | None = None, body: Body | None = None, begin_by: int = FAR) -> None:
         self.host = host
         self.begin_by = begin_by   # its last byte is written by then, or never
         self.probe = probe
@@ -534,8 +534,9 @@
         if host is None or not host.ready:
             attempt.end(Outcome.CONNECT_FAILED)
             return
-        rested = now_ns() - REST
-        stale = now_ns() - self._idle   # its host may close it in this moment, and the sweep comes late
+        now = now_ns()
+        rested = now - REST
+        stale = now - self._idle   # its host may close it in this moment, and the sweep comes late
         for at in range(len(host.idle) - 1, -1, -1):
             if host.idle[at].idle_at <= rested:
                 conn = host.idle.pop(at)
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -19,7 +19,7 @@
 from gateway.upstream import Attempt
 from tests.sockets import OK, SETTINGS, FakeDiscovery, FakeHost, Stage, play, request, rested, until
 from tests.test_process import COMMAND, ROOT, connect, launch, write_config
-from tests.test_upstream import HEAD, Bench, all_silent, silent_listener
+from tests.test_upstream import HEAD, Bench, all_silent, in_hand, silent_listener
 
 # ---- Repeats ------------------------------------------------------------------------------------------------
 
@@ -50,11 +50,7 @@
 def test_a_copy_that_a_slow_host_has_not_taken_whole_by_the_end_of_the_window_never_ran() -> None:
     async def scene() -> None:
         bench, loop = Bench(), asyncio.get_running_loop()
-        with socket.socket() as listener:
-            listener.bind(("127.0.0.1", 0))
-            listener.listen()
-            listener.setblocking(False)
-            bench.tell(f"127.0.0.1:{listener.getsockname()[1]}")
+        with in_hand(bench) as listener:
             attempt, ended = a_copy(200 * MS, b"x" * 20_000_000)
             bench.upstream.start(attempt)
             conn, _ = await loop.sock_accept(listener)
@@ -70,11 +66,7 @@
 def test_an_idle_connection_on_which_an_end_or_bytes_wait_unread_is_not_chosen(left: bytes) -> None:
     async def scene() -> None:
         bench, loop = Bench(), asyncio.get_running_loop()
-        with socket.socket() as listener:
-            listener.bind(("127.0.0.1", 0))
-            listener.listen()
-            listener.setblocking(False)
-            bench.tell(f"127.0.0.1:{listener.getsockname()[1]}")
+        with in_hand(bench) as listener:
             _, result = bench.start()
             first, _ = await loop.sock_accept(listener)
             with first:
@@ -97,12 +89,7 @@
 def test_a_second_answer_or_an_end_that_crosses_the_next_request_costs_the_connection_alone(crossing: str) -> None:
     async def scene() -> None:
         bench, loop = Bench(), asyncio.get_running_loop()
-        with socket.socket() as listener:
-            listener.bind(("127.0.0.1", 0))
-            listener.listen()
-            listener.setblocking(False)
-            address = f"127.0.0.1:{listener.getsockname()[1]}"
-            bench.tell(address)
+        with in_hand(bench) as listener:
             _, result = bench.start()
             first, _ = await loop.sock_accept(listener)
             with first:
@@ -111,7 +98,7 @@
                 assert (await result)[0] is Outcome.OK
                 attempt, result = bench.start()
                 if crossing == "drain":
-                    bench.tell(address, HostState.DRAINING)
+                    bench.tell(f"127.0.0.1:{listener.getsockname()[1]}", HostState.DRAINING)
                     assert (await result)[0] is Outcome.CONNECT_FAILED
                 elif crossing == "cancel":
                     bench.upstream.cancel(attempt)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import pytest
 
@@ -47,6 +49,19 @@
             self.upstream.expire(attempt)
 
 
+@contextmanager
+def in_hand(bench: Bench, receive: int = 0) -> Iterator[socket.socket]:
+    """A host whose connections the test accepts by itself; `receive` bounds what the kernel takes for it."""
+    with socket.socket() as listener:
+        if receive:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        listener.setblocking(False)
+        bench.tell(f"127.0.0.1:{listener.getsockname()[1]}")
+        yield listener
+
+
 def silent_listener() -> tuple[socket.socket, list[socket.socket], str]:
     """A listener whose queue is full: new connections to it never come up."""
     listener = socket.socket()
@@ -171,12 +186,7 @@
 def test_what_breaks_before_its_last_byte_is_written_never_ran() -> None:
     async def scene() -> None:
         bench, loop = Bench(), asyncio.get_running_loop()
-        with socket.socket() as listener:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            listener.bind(("127.0.0.1", 0))
-            listener.listen()
-            listener.setblocking(False)
-            bench.tell(f"127.0.0.1:{listener.getsockname()[1]}")
+        with in_hand(bench, 4096) as listener:
             _, result = bench.start(body=b"x" * 20_000_000)
             conn, _ = await loop.sock_accept(listener)
             await loop.sock_recv(conn, 100)
@@ -188,11 +198,7 @@
 def test_a_partly_written_request_that_times_out_never_ran() -> None:
     async def scene() -> None:
         bench, loop = Bench(), asyncio.get_running_loop()
-        with socket.socket() as listener:
-            listener.bind(("127.0.0.1", 0))
-            listener.listen()
-            listener.setblocking(False)
-            bench.tell(f"127.0.0.1:{listener.getsockname()[1]}")
+        with in_hand(bench) as listener:
             _, result = bench.start(300 * MS, body=b"x" * 20_000_000)
             conn, _ = await loop.sock_accept(listener)
             with conn:
