Discovery: one owner keeps the 6 s in which a change must be heard, whatever became of calls

Gateways that had heard nothing sent on for up to 9 s after the clock had run out. Followed, n2: watch reset 2.10 s, call 2.77 s, 503 at 5.77 s, pause 1.7 s, call 7.50 s, discovery back about 7.7 s, that call dead all the same until 10.50 s, pause 2.0 s, call 12.48 s, list 15.39 s; the change was there at 8.92 s. Placement chose by the list it had; no retry, queue, late connection or successor held an older choice.

Lines at fault: `decide.py` `_ask_later` (pauses to 3 s after a call that itself took 3 s) and `discovery.py` `CALL` 4 s, `BACKOFF_MAX` 5 s: three owners, of which none counted the sum.

Ruled out: descriptors (260 of 512 at most, no call refused one); processor time (0.40 s in a second at most); a list taken late (lists are taken in the read that brings them); a whole list without the draining hosts (taken as gone, nothing was sent to them after it).

Change: once a watch was asked for, `Discovery` alone begins it anew, asked or pushed; the rest after a call is bounded by what its wait leaves of 6 s and the next turn. Calls in vain still double it, as each refused call costs the service: a trial with two calls at a time and rests of 0.25 s took 800 calls a second and starved all (no list told for 20 s); taken back.

What is left: that service answers 26 calls a second, 200 after a reset of all watches take 7.6 s. `test_told.py`: 60 of 74 orders fail without the change.

--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -21,20 +21,26 @@
 
 HEARTBEAT = 2 * SECOND
 """An empty line comes so often while nothing changes."""
-SILENT = 3 * SECOND
-"""A watch that has been silent so long is dead: one heartbeat missed and half of one more.
+TOLD = 6 * SECOND
+"""A change counts as told so long after discovery had it and could be reached, whatever became of calls meanwhile.
 
-What discovery has to tell counts as told 6 s later at the latest, so the next watch must have spoken by then.
+Nobody tells when discovery is back, and a call that began before may never be answered.  So from any moment on, what
+is left of a call in vain, the rest after it and the turn of the next call must fit into this: `Discovery._rest` sees
+to it.
 """
-CALL = 4 * SECOND
-"""Longest wait for the first line: calls wait their turn at a discovery that serves all gateways."""
+TURN = TOLD // 2
+"""What is left to a call for its turn, at a discovery that serves all gateways."""
+CALL = TURN + SECOND // 2
+"""Longest wait for the first line: a call that is answered at the end of its turn has its answer under way."""
+SILENT = 3 * SECOND
+"""A watch that has been silent so long is dead: one heartbeat missed and half of one more."""
 CONNECT = 2 * SECOND
 """Longest wait for the connection itself."""
 CUT_SHORT = 150 * MS
 """An object that has begun and of which nothing comes for so long was cut short; doubles each time that it was so."""
 MAX_LINE = 8 * 1024 * 1024
 MAX_HEAD = 16 * 1024
-BACKOFF_FIRST, BACKOFF_MAX = 250 * MS, 5 * SECOND
+BACKOFF_FIRST = 250 * MS
 APART = 250 * MS
 """Watches that fall silent together are begun anew so far apart, at random."""
 AT_ONCE = 100 * MS
@@ -269,10 +275,10 @@
 
 
 class Discovery:
-    """Keeps the watch that the module asked for, and tells what comes of it.
+    """Keeps the watch that was asked for once, and tells what comes of it.
 
-    Where discovery is asked, the module chooses when to ask again; where lists are pushed it asks for
-    nothing, and the watch is begun anew here, after a pause that doubles and is drawn at random.
+    The module chooses when to ask first; where lists are pushed it asks for nothing.  From then on a watch that ends is
+    begun anew from here: the time until a change is heard has this one owner.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, address: tuple[str, int],
@@ -285,6 +291,8 @@
         self._lines = lines
         self._pushed = pushed
         self._tell = tell
+        self._wanted = False
+        self._resting = False
         self._watch: _Call | None = None
         self._fetch: _Call | None = None
         self._pause = BACKOFF_FIRST
@@ -303,12 +311,22 @@
 
     def watch(self, active: bool) -> None:
         """Subscribe, or no longer.  One watch at a time: a second call would cost lines and tell nothing."""
-        if active and self._watch is None:
+        self._wanted = active
+        if active and self._watch is None and not self._resting:
             self._watch = self._call(True)
         elif not active and self._watch is not None:
             call, self._watch = self._watch, None
             call.close()
 
+    def _watch_after(self, rest_ns: int) -> None:
+        self._resting = True
+        self._timers.after(rest_ns, self._rested, None)
+
+    def _rested(self, _: None) -> None:
+        self._resting = False
+        if self._wanted:
+            self.watch(True)
+
     def fetch(self) -> None:
         """The whole list, once."""
         if self._fetch is None:
@@ -329,6 +347,7 @@
         self.authority = f"{address[0]}:{address[1]}"
         self.generation = 0
         self._pause = BACKOFF_FIRST
+        self._resting = False
         self.watch(False)
         self.watch(True)
         if self._fetch is not None:
@@ -360,7 +379,7 @@
         log.info("discovery: the watch has fallen silent")
         call.close()
         self._watch = None
-        self._timers.after(int(random.random() * APART), self.watch, True)
+        self._watch_after(int(random.random() * APART))
 
     async def _connect(self, call: _Call) -> None:
         try:
@@ -420,22 +439,28 @@
             return
         log.info("discovery: %s", why)
         self._tell(ListKind.FAILED, [])
-        if self._pushed and self._watch is None:
-            self._timers.after(int(self._rest(call) * (0.5 + random.random())), self.watch, True)
+        if self._wanted and self._watch is None:
+            self._watch_after(self._rest(call))
 
     def _rest(self, call: _Call) -> int:
-        """How long a pushed watch rests after a call that has ended.
+        """How long the watch rests after a call that has ended.
 
-        What the service has counts as told whether a watch is open or not, so the rest is a part of the time in which
-        a change has to be followed.  A service that is down, or whose watches end, is asked nothing by that.  One with
-        too many callers lets them wait before it turns them away: a call that has waited in vain doubles the rest.
+        It doubles with each call in vain, as each costs a service that has too many callers, up to what is left of
+        TOLD.  Where lists are pushed, what the service has counts as told whether a watch is open or not, so the rest
+        is a part of the time in which a change has to be followed: a service that is down, or whose watches end, is
+        asked nothing by that.  One with too many callers lets them wait before it turns them away.
         """
         now = now_ns()
         alive = call.told and now - call.told > SECOND
-        if self.grace_ns and (alive or call.transport is None or (not call.heard and now - call.begun < AT_ONCE)):
-            return min(BACKOFF_FIRST, self.grace_ns // 4)
-        rest, self._pause = self._pause, min(2 * self._pause, BACKOFF_MAX)
-        return rest
+        waited = 0 if call.told else now - call.begun
+        if self._pushed and self.grace_ns and (alive or call.transport is None
+                                               or (not call.heard and waited < AT_ONCE)):
+            rest = min(BACKOFF_FIRST, self.grace_ns // 4)
+        else:
+            left = TOLD - TURN - waited
+            rest = min(self._pause, max(BACKOFF_FIRST, left * 2 // 3))   # it is drawn up to half as long again
+            self._pause = 2 * rest
+        return int(rest * (0.5 + random.random()))
 
     def start(self) -> None:
         """Where lists are pushed nobody asks: the watch begins by itself."""
@@ -444,6 +469,6 @@
 
     def close(self) -> None:
         """End everything; the program is over."""
-        for call in (self._watch, self._fetch):
-            if call is not None:
-                call.close()
+        self.watch(False)
+        if self._fetch is not None:
+            self._fetch.close()
--- a/gateway/failover.py
+++ b/gateway/failover.py
@@ -98,7 +98,6 @@
         random.shuffle(self._all)      # gateways spread over the services
         super().__init__(loop, timers, self._all[0], lines, pushed, tell, grace_ns)
         self._failed = 0               # services that failed since one told a list
-        self._wanted = False
         self._rows: dict[str, Any] = {}
         self._kept = kept
         self._thread = ThreadPoolExecutor(1, "list") if kept is not None else None
@@ -145,11 +144,6 @@
 
     # ---- Services ----------------------------------------------------------------------------------------
 
-    def watch(self, active: bool) -> None:
-        """Subscribe, or no longer."""
-        self._wanted = active
-        super().watch(active)
-
     def ended(self, call: _Call, why: str, failed: bool = True) -> None:
         """A service has failed: on to the next; the module hears of it only once all have."""
         if call.over:
@@ -165,19 +159,14 @@
             super().ended(call, why, failed)
             return
         log.info("discovery: %s: on to %s", why, self.authority)
-        watch = call is self._watch
+        soon = int(JITTER * random.random())
         call.close()
-        if watch:
+        if call is self._watch:
             self._watch = None
+            self._watch_after(soon)
         elif call is self._fetch:
             self._fetch = None
-        self._timers.after(int(JITTER * random.random()), self._again, watch)
-
-    def _again(self, watch: bool) -> None:
-        if not watch:
-            self.fetch()
-        elif self._wanted:
-            self.watch(True)
+            self._timers.after(soon, lambda _: self.fetch(), None)
 
     def move(self, address: Address, lines: Lines, pushed: bool, others: Sequence[Address] = ()) -> None:
         """Other services from now on; where there are the same ones nothing ends."""
--- /dev/null
+++ b/tests/test_told.py
@@ -0,0 +1,267 @@
+"""The clock of discovery: what it has is heard within 6 s of its return, whatever became of calls before.
+
+Each order is played on `Discovery` itself, in a time of the test's own: a service that fails in one of many ways, and
+answers from one moment on.  That moment goes through everything a call may be doing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Callable, Generator
+from contextlib import suppress
+from heapq import heappop, heappush
+from itertools import count
+from types import CoroutineType
+from typing import Any, cast
+
+import pytest
+
+import gateway.discovery
+import gateway.failover
+from bridgesaddle.api import MS, SECOND, ListKind
+from gateway.discovery import Discovery, Lines, Listed
+from gateway.failover import Failover
+from gateway.timers import Timers
+
+TOLD = 6 * SECOND
+"""By the standing terms; no figure of the gateway's own."""
+OLD, NEW = 41, 43
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+TURNED_AWAY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
+
+def line(generation: int) -> bytes:
+    text = json.dumps({"generation": generation, "reset": True, "instances": []}).encode() + b"\n"
+    return b"%x\r\n%b\r\n" % (len(text), text)
+
+
+class Clock:
+    """Time that passes from one event to the next: the `Timers` of the gateway and its clock."""
+
+    def __init__(self) -> None:
+        self.now = 1_000 * SECOND
+        self._heap: list[tuple[int, int, Callable[[Any], None], Any]] = []
+        self._number = count()
+
+    def at(self, due: int, call: Callable[[Any], None], argument: Any) -> None:
+        heappush(self._heap, (max(due, self.now), next(self._number), call, argument))
+
+    def after(self, delay: int, call: Callable[[Any], None], argument: Any) -> None:
+        self.at(self.now + delay, call, argument)
+
+    def run(self, until: int, over: Callable[[], bool]) -> None:
+        while self._heap and self._heap[0][0] <= until and not over():
+            self.now, _, call, argument = heappop(self._heap)
+            call(argument)
+
+
+class Wire:
+    """One call as the service sees it: the transport of its protocol."""
+
+    def __init__(self, clock: Clock, protocol: Any) -> None:
+        self.clock = clock
+        self.protocol = protocol
+        self.open = True
+
+    def write(self, data: bytes) -> None:
+        """The call itself; what it asks for does not matter here."""
+
+    def abort(self) -> None:
+        if self.open:
+            self.open = False
+            self.clock.after(0, self.protocol.connection_lost, None)
+
+    def say(self, data: bytes, after: int = 0) -> None:
+        self.clock.after(after, self._say, data)
+
+    def _say(self, data: bytes) -> None:
+        if self.open:
+            self.protocol.data_received(data)
+
+    def end(self, after: int = 0) -> None:
+        self.clock.after(after, lambda _: self.abort(), None)
+
+
+Behaviour = Callable[[Wire], None]
+
+
+def reset(wire: Wire) -> None:
+    wire.end()
+
+
+def turned_away(wait: int) -> Behaviour:
+    return lambda wire: wire.say(TURNED_AWAY, wait)
+
+
+def silent(wire: Wire) -> None:
+    pass
+
+
+def silent_behind_its_head(wire: Wire) -> None:
+    wire.say(HEAD)
+
+
+def half_an_object(wire: Wire) -> None:
+    wire.say(HEAD + b"9\r\n{\"generat\r\n", 300 * MS)
+
+
+def a_broken_line(wire: Wire) -> None:
+    wire.say(HEAD + b"5\r\n{no}\n\r\n")
+
+
+def ends_instead_of_telling(wire: Wire) -> None:
+    wire.say(HEAD + line(OLD), 40 * MS)
+    wire.end(500 * MS)
+
+
+def ends_at_once(wire: Wire) -> None:
+    wire.say(HEAD + b"0\r\n\r\n")
+
+
+def falls_silent(wire: Wire) -> None:
+    wire.say(HEAD + line(OLD), 40 * MS)
+
+
+WAYS: dict[str, Behaviour | None] = {
+    "refused": None, "hanging": None, "reset": reset, "turned away at once": turned_away(0),
+    "turned away after 0.2 s": turned_away(200 * MS), "turned away after 1 s": turned_away(SECOND),
+    "turned away after 3 s": turned_away(3 * SECOND), "silent": silent,
+    "silent behind its head": silent_behind_its_head, "half an object": half_an_object,
+    "a broken line": a_broken_line, "ends at once": ends_at_once,
+    "ends instead of telling": ends_instead_of_telling, "falls silent": falls_silent,
+}
+
+
+class Loop:
+    """Connects calls to a service that fails in one way up to a moment, and tells the new list after it."""
+
+    def __init__(self, clock: Clock, ways: list[str], back: int, turn: int) -> None:
+        self.clock = clock
+        self._ways = ways
+        self._back = back
+        self._turn = turn
+        self.calls = 0
+
+    def create_task(self, coroutine: CoroutineType[Any, Any, None]) -> Any:
+        return _Task(self.clock, coroutine)
+
+    async def create_connection(self, make: Callable[[], Any], *_: Any) -> None:
+        way = self._ways[self.calls % len(self._ways)]
+        self.calls += 1
+        back = self.clock.now >= self._back
+        if not back and way == "refused":
+            raise ConnectionRefusedError
+        if not back and way == "hanging":
+            await _never()
+        wire = Wire(self.clock, make())
+        wire.protocol.connection_made(wire)
+        if back:
+            wire.say(HEAD + line(NEW), self._turn)
+        else:
+            cast(Behaviour, WAYS[way])(wire)
+
+
+class _Never:
+    def __await__(self) -> Generator[None, None, None]:
+        while True:
+            yield
+
+
+async def _never() -> None:
+    await _Never()
+
+
+class _Task:
+    """A coroutine that runs up to where it waits."""
+
+    def __init__(self, clock: Clock, coroutine: CoroutineType[Any, Any, None]) -> None:
+        self._clock = clock
+        self._coroutine = coroutine
+        clock.after(0, self._begin, None)
+
+    def _begin(self, _: None) -> None:
+        with suppress(StopIteration):
+            self._coroutine.send(None)
+
+    def cancel(self) -> None:
+        self._clock.after(0, self._end, None)
+
+    def _end(self, _: None) -> None:
+        if self._coroutine.cr_frame is not None:
+            with suppress(StopIteration):
+                self._coroutine.throw(asyncio.CancelledError())
+
+
+def heard_after(monkeypatch: pytest.MonkeyPatch, ways: list[str], back: int, turn: int, *, pushed: bool = False,
+                several: bool = False, moved: int = 0, seed: int = 0) -> tuple[int, int]:
+    """How long after its return the service's list is heard, and the calls until then."""
+    clock = Clock()
+    loop = Loop(clock, ways, clock.now + back, turn)
+    monkeypatch.setattr(gateway.discovery, "now_ns", lambda: clock.now)
+    monkeypatch.setattr(random, "random", random.Random(seed).random)
+    heard: list[int] = []
+
+    def tell(kind: ListKind, listed: list[Listed]) -> None:
+        if kind is ListKind.FULL and discovery.generation == NEW:
+            heard.append(clock.now)
+
+    fixed = (cast(asyncio.AbstractEventLoop, loop), cast(Timers, clock))
+    lines = Lines(["a"], [], 0)
+    address = ("127.0.0.1", 1)
+    discovery = Failover(*fixed, [address, ("127.0.0.1", 2)], lines, pushed, tell, None, 300 * MS) if several \
+        else Discovery(*fixed, address, lines, pushed, tell, 300 * MS)
+    discovery.known({"generation": OLD, "reset": True, "instances": []})
+    discovery.watch(True)
+    if moved:
+        clock.after(moved, lambda _: discovery.move(("127.0.0.1", 3), lines, pushed), None)
+    returned = clock.now + back
+    clock.run(returned + 3 * TOLD, lambda: bool(heard))
+    assert heard, "never"
+    return heard[0] - returned, loop.calls
+
+
+STEP = 90 * MS
+"""Moments of return so far apart: no divisor of the gateway's own times."""
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+@pytest.mark.parametrize("way", WAYS)
+def test_a_change_is_heard_within_its_time_whenever_discovery_is_back(
+        monkeypatch: pytest.MonkeyPatch, way: str, pushed: bool) -> None:
+    for back in range(0, 9 * SECOND, STEP):
+        for seed in range(4):
+            after, _ = heard_after(monkeypatch, [way], back, 2 * SECOND, pushed=pushed, seed=seed)
+            assert after <= TOLD, (back, seed)
+
+
+@pytest.mark.parametrize("first", WAYS)
+def test_it_is_heard_in_time_behind_any_two_ways_to_fail(monkeypatch: pytest.MonkeyPatch, first: str) -> None:
+    for second in WAYS:
+        for back in range(0, 7 * SECOND, 2 * STEP):
+            after, _ = heard_after(monkeypatch, [first, second], back, 2 * SECOND, seed=back)
+            assert after <= TOLD, (second, back)
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_it_is_heard_in_time_where_sighup_moves_discovery_in_the_middle(
+        monkeypatch: pytest.MonkeyPatch, way: str) -> None:
+    for moved in range(100 * MS, 4 * SECOND, 3 * STEP):
+        for back in range(moved, moved + 4 * SECOND, 3 * STEP):
+            after, _ = heard_after(monkeypatch, [way], back, 2 * SECOND, moved=moved, seed=back)
+            assert after <= TOLD, (moved, back)
+
+
+@pytest.mark.parametrize("way", ["refused", "turned away at once", "turned away after 1 s", "reset"])
+def test_it_is_heard_in_time_from_one_of_several_services(monkeypatch: pytest.MonkeyPatch, way: str) -> None:
+    for back in range(0, 9 * SECOND, STEP):
+        after, _ = heard_after(monkeypatch, [way], back, SECOND, several=True, seed=back)
+        assert after <= TOLD, back
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_a_service_that_fails_for_long_is_not_called_more_than_now_and_then(
+        monkeypatch: pytest.MonkeyPatch, way: str) -> None:
+    _, calls = heard_after(monkeypatch, [way], 60 * SECOND, 0)
+    assert calls <= 60 * (3 if "ends" in way or way == "a broken line" else 2)
