Tests: idle clients fill the descriptors while discovery is down; all others still get theirs

Asked of the whole program at 64, 128 and 256 descriptors with twice as many connections that ask nothing, half a line, or a whole call and stay: discovery's call, the operator's address, a host's connection and a new client get theirs in all nine cases. No mend was needed.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -125,11 +125,12 @@
 
     async def start(self) -> FakeDiscovery:
         """Listen on a free port."""
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
         return self
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """One call."""
         try:
             first, _, _ = await read_message(reader)
             self.calls.put_nowait((first, writer))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -13,6 +13,7 @@
 import sys
 import tempfile
 import time
+from contextlib import suppress
 from pathlib import Path
 from types import ModuleType
 from typing import Any
@@ -113,6 +114,52 @@
     play(scene)
 
 
+@pytest.mark.parametrize("sockets", [64, 128, 256])
+@pytest.mark.parametrize("asks", [b"", b"GET /", READY])
+def test_discovery_hosts_and_operators_get_descriptors_that_idle_clients_have_filled_while_discovery_was_down(
+        asks: bytes, sockets: int, free_port: int, tmp_path: Path) -> None:
+    async def scene() -> None:
+        host, discovery = await FakeHost().start(), FakeDiscovery()
+        with socket.create_server(("127.0.0.1", 0)) as place:   # bound, and nobody answers there
+            number = place.getsockname()[1]
+        discovery.address = f"127.0.0.1:{number}"
+        config = write_config(tmp_path / "c", discovery, host)
+        config.update(operator=f"127.0.0.1:{free_port}", limits={"sockets": sockets},
+                      known={"generation": 41, "reset": True, "instances": []})
+        (tmp_path / "c").write_text(json.dumps(config))
+        program, where = await launch(tmp_path / "c", sockets=sockets)
+        crowd = []
+        for _ in range(2 * sockets):   # at once: more than it may hold, and than it can send away in a turn of its loop
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(where)
+            crowd.append(sock)
+        for sock in crowd:
+            with suppress(OSError):
+                sock.send(asks)
+        server = await asyncio.start_server(discovery.serve, "127.0.0.1", number)
+        first, writer = await discovery.calls.get()
+        assert "watch=1" in first
+        discovery.head(writer)
+        discovery.line(writer, 42, [host.row()], reset=True)
+        operator = await connect(("127.0.0.1", free_port))
+        assert (await operator.ask(b"GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
+        while True:   # the crowd stays
+            client = await connect(where)
+            try:
+                if (await client.ask(request()))[0] == 200:
+                    break
+            except (OSError, asyncio.IncompleteReadError):
+                pass   # turned away while there was no room
+            client.writer.close()
+        for sock in crowd:
+            sock.close()
+        server.close()
+        program.kill()
+        await program.wait()
+    play(scene)
+
+
 def test_running_out_of_descriptors_is_no_crash(tmp_path: Path) -> None:
     async def scene() -> None:
         host, discovery = await FakeHost().start(), await FakeDiscovery().start()
