--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -29,9 +29,12 @@
 to it.
 """
 TURN = TOLD // 2
-"""What is left to a call for its turn, at a discovery that serves all gateways."""
+"""What a rest leaves to the next call for its turn, at a discovery that serves all gateways.
+
+After the longest wait in vain 2 s are left.
+"""
 CALL = TURN + SECOND // 2
-"""Longest wait for the first line: a call that is answered at the end of its turn has its answer under way."""
+"""Longest wait for the first line: the answer to a call that was a whole turn in the queue is still under way."""
 SILENT = 3 * SECOND
 """A watch that has been silent so long is dead: one heartbeat missed and half of one more."""
 CONNECT = 2 * SECOND
@@ -123,6 +126,7 @@
 
 
 _TEXTS = re.compile(rb'"(?:[^"\\]|\\.)*"')
+_NO_BRACKETS = bytes(set(range(256)) - set(b"{}[]"))
 
 
 class Objects:
@@ -174,10 +178,10 @@
             raise BadLine("no object")
         if self._open[-1:] == b"{" and bare[:1] in b"{[" and not self._lines[-1].endswith(b":"):
             raise BadLine("an object in an object")
-        for bracket in bare:
+        for bracket in bare.translate(None, _NO_BRACKETS):
             if bracket in b"{[":
                 self._open.append(bracket)
-            elif bracket in b"}]" and (not self._open or self._open.pop() != bracket - 2):
+            elif not self._open or self._open.pop() != bracket - 2:
                 raise BadLine("brackets that do not fit")
         self._lines.append(line)
         return not self._open
