--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -297,6 +297,7 @@
         self._tell = tell
         self._wanted = False
         self._resting = False
+        self._rests = 0
         self._watch: _Call | None = None
         self._fetch: _Call | None = None
         self._pause = BACKOFF_FIRST
@@ -323,13 +324,15 @@
             call.close()
 
     def _watch_after(self, rest_ns: int) -> None:
+        self._rests += 1
         self._resting = True
-        self._timers.after(rest_ns, self._rested, None)
+        self._timers.after(rest_ns, self._rested, self._rests)
 
-    def _rested(self, _: None) -> None:
-        self._resting = False
-        if self._wanted:
-            self.watch(True)
+    def _rested(self, number: int) -> None:
+        if self._resting and number == self._rests:   # else it ended before its time, as discovery has moved
+            self._resting = False
+            if self._wanted:
+                self.watch(True)
 
     def fetch(self) -> None:
         """The whole list, once."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -60,6 +60,18 @@
     return Client(*await asyncio.open_connection(*where))
 
 
+async def served(where: tuple[str, int]) -> Client:
+    """The first new client that is not turned away."""
+    while True:
+        client = await connect(where)
+        try:
+            if (await client.ask(request()))[0] == 200:
+                return client
+        except (OSError, asyncio.IncompleteReadError):
+            pass   # there was no room
+        client.writer.close()
+
+
 @pytest.mark.parametrize("text", [None, "", "{", "[]", "{}", '{"listen": "x", "discovery": "127.0.0.1:1"}',
                                   '{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": 7}'])
 def test_a_bad_configuration_is_one_plain_line(text: str | None, tmp_path: Path) -> None:
@@ -144,14 +156,7 @@
         discovery.line(writer, 42, [host.row()], reset=True)
         operator = await connect(("127.0.0.1", free_port))
         assert (await operator.ask(b"GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n"))[0] == 200
-        while True:   # the crowd stays
-            client = await connect(where)
-            try:
-                if (await client.ask(request()))[0] == 200:
-                    break
-            except (OSError, asyncio.IncompleteReadError):
-                pass   # turned away while there was no room
-            client.writer.close()
+        await served(where)   # the crowd stays
         for sock in crowd:
             sock.close()
         server.close()
@@ -168,14 +173,7 @@
         crowd = [await connect(where) for _ in range(80)]
         for client in crowd:
             client.writer.close()
-        while True:   # the crowd leaves: it serves again, as soon as that is noticed
-            client = await connect(where)
-            try:
-                if (await client.ask(request()))[0] == 200:
-                    break
-            except (OSError, asyncio.IncompleteReadError):
-                pass   # turned away while there was no room
-            client.writer.close()
+        client = await served(where)   # the crowd leaves: it serves again, as soon as that is noticed
         assert program.returncode is None
         program.send_signal(signal.SIGTERM)
         client.writer.close()
