--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -311,3 +311,30 @@
     _, _, [gone] = lines.parse({"generation": 44, "instances": [{**broken, "lifecycle": "terminated"}]})
     assert gone.entry.state is HostState.GONE
     assert lines.parse({"generation": 45, "instances": [broken]})[2] == []
+
+
+def test_the_whole_gateway_asks_again_soon_after_a_call_in_vain_and_follows_a_list_that_leaves_a_host_out() -> None:
+    async def scene() -> None:
+        async with Stage() as stage:
+            leaving, staying = FakeHost("h0"), FakeHost("h1")
+            await stage.begin(leaving, staying, rules={"ask-within-ns": 10 * SECOND})
+            client = await stage.client()
+            _, writer = await stage.discovery.calls.get()
+            since = now_ns()
+            number = 0
+            while now_ns() - since < SECOND:   # it waits its turn, and in vain
+                number += 1
+                assert (await client.ask(request(rid=f"r{number}")))[0] == 200
+            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+            since = now_ns()
+            _, writer = await stage.discovery.calls.get()
+            assert now_ns() - since < 490 * MS   # a call in vain, the rest and the next turn: 6 s in all
+            stage.discovery.head(writer)
+            stage.discovery.line(writer, 42, [staying.row()], reset=True)
+            await until(lambda: stage.gateway.upstream.listed == 1)
+            while not leaving.seen.empty():
+                leaving.seen.get_nowait()
+            for late in range(30):
+                assert (await client.ask(request(rid=f"late{late}")))[0] == 200
+            assert leaving.seen.empty()
+    play(scene)
