Discovery: when a rest ends is the one thing kept of it

Found in reading the change once more: a flag and a counter said what the end of the rest says by itself. Behaviour as before; test_told, test_discovery and test_registry green (the real services of test_registry not run).

--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -296,8 +296,7 @@
         self._pushed = pushed
         self._tell = tell
         self._wanted = False
-        self._resting = False
-        self._rests = 0
+        self._rests_until = 0    # 0: the watch does not rest
         self._watch: _Call | None = None
         self._fetch: _Call | None = None
         self._pause = BACKOFF_FIRST
@@ -317,20 +316,19 @@
     def watch(self, active: bool) -> None:
         """Subscribe, or no longer.  One watch at a time: a second call would cost lines and tell nothing."""
         self._wanted = active
-        if active and self._watch is None and not self._resting:
+        if active and self._watch is None and not self._rests_until:
             self._watch = self._call(True)
         elif not active and self._watch is not None:
             call, self._watch = self._watch, None
             call.close()
 
     def _watch_after(self, rest_ns: int) -> None:
-        self._rests += 1
-        self._resting = True
-        self._timers.after(rest_ns, self._rested, self._rests)
+        self._rests_until = now_ns() + rest_ns
+        self._timers.at(self._rests_until, self._rested, self._rests_until)
 
-    def _rested(self, number: int) -> None:
-        if self._resting and number == self._rests:   # else it ended before its time, as discovery has moved
-            self._resting = False
+    def _rested(self, until: int) -> None:
+        if until == self._rests_until:   # else it ended before its time, as discovery has moved
+            self._rests_until = 0
             if self._wanted:
                 self.watch(True)
 
@@ -354,7 +352,7 @@
         self.authority = f"{address[0]}:{address[1]}"
         self.generation = 0
         self._pause = BACKOFF_FIRST
-        self._resting = False
+        self._rests_until = 0
         self.watch(False)
         self.watch(True)
         if self._fetch is not None:
