Log: events with the client's id, hold-ups of the loop, age of the list on the operators' address

Nothing could tell a late send's cause: no line named a request, no figure told how old the list was or how long the loop had stood still.

gateway/events.py writes event=NAME field=value, 40 a second at most, the rest counted; retries, failed attempts, refusals, failures, host state changes with their start, calls to discovery, lists with their version, client connections closed and why. gateway/holdups.py notices hold-ups by a tick of 0.1 s; /_vars gains discovery_heard_ms_ago, list_generation, hold_ups, hold_ups_ms, hold_up_longest_ms. No behaviour changes.

--- a/gateway/core.py
+++ b/gateway/core.py
@@ -18,6 +18,8 @@
 
 from .body import Body
 from .discovery import Discovery, Listed
+from .events import event
+from .holdups import HoldUps
 from .peers import Peers
 from .timers import FAR, Timers, now_ns
 from .upstream import Answer, Attempt, Upstream
@@ -96,6 +98,7 @@
 
     body: Body | None
 
+    id: bytes
     cls: int
     tenant: int
     key: int
@@ -109,12 +112,13 @@
 class Request:
     """A request that is held; it stays in the table until its attempts have ended too."""
 
-    __slots__ = ("attempts", "body", "closing", "deadline", "exchange", "last_call", "most", "out", "payload",
+    __slots__ = ("attempts", "body", "closing", "deadline", "exchange", "last_call", "most", "name", "out", "payload",
                  "rid", "streamed", "ttl")
 
-    def __init__(self, rid: int, exchange: Exchange, payload: tuple[bytes, bytes], deadline: int,
+    def __init__(self, rid: int, name: bytes, exchange: Exchange, payload: tuple[bytes, bytes], deadline: int,
                  most: int) -> None:
         self.rid = rid
+        self.name = name   # the client's id of it, for the log
         self.most = most   # attempts: the limit it came under
         self.exchange: Exchange | None = exchange   # None once the answer is given or the client has gone
         self.payload = payload
@@ -163,6 +167,7 @@
         self._requests: dict[int, Request] = {}
         self._take(settings, columns)
         self.peers: Peers | None = None
+        self.holdups: HoldUps | None = None
         self.upstream: Upstream
         self.discovery: Discovery
         self.listed = False
@@ -190,6 +195,8 @@
             while self._events:
                 call, request, fields = self._events.popleft()
                 self._now = now_ns()
+                if self.holdups is not None:
+                    self.holdups.note(self._now)
                 try:
                     call(self._now, *fields)
                 except Exception:
@@ -214,12 +221,13 @@
     def on_request(self, exchange: Exchange, asked: Asked) -> Request | None:
         """Take in a client's request; None if there is no room and it has been refused unsent."""
         if len(self._requests) >= self._max_open:
+            event(log, "refused", request=asked.id, why="too many are open")
             exchange.refused(0)
             return None
         self._rid = rid = (self._rid + 1) & 0xFFFFFFFF
         now = now_ns()
         ttl = max(asked.ttl_ns - MARGIN, asked.ttl_ns // 2)
-        request = Request(rid, exchange, asked.payload, now + ttl, self._settings.limits.max_attempts)
+        request = Request(rid, asked.id, exchange, asked.payload, now + ttl, self._settings.limits.max_attempts)
         self._requests[rid] = request
         request.ttl = asked.ttl_ns
         request.body = asked.body
@@ -313,13 +321,14 @@
     def _last_call(self, request: Request) -> None:
         """Guards against a module that is late: the client's time is nearly up."""
         if request.exchange is not None and now_ns() >= request.last_call:
-            log.error("request %d has had no answer in its time", request.rid)
+            log.error("request %s has had no answer in its time", request.name.decode("ascii", "backslashreplace"))
             self._give_up(request)
 
     def _give_up(self, request: Request) -> None:
         """Answer failed in the module's place, which can't vouch for a refusal, and have it forget."""
         exchange, request.exchange = request.exchange, None
         if exchange is not None:
+            event(log, "failed", request=request.name, why="its time is up, its client ends or the program does")
             exchange.broken() if request.streamed else exchange.failed()
             self._event(self._module.on_gone, None, request.rid)
         self._finish(request)
@@ -358,6 +367,9 @@
         settled = request.exchange is None
         load = self.loads.read(attempt.load) if attempt.load else ()
         spent = max(1, (attempt.begun or now_ns()) - attempt.started)
+        if outcome is not Outcome.OK:
+            event(log, "attempt_ended", request=request.name, attempt=attempt.number, host=attempt.host,
+                  outcome=outcome.name, spent_ns=spent)
         self._event(self._module.on_outcome, request, request.rid, attempt.number, attempt.host, outcome,
                     spent, settled, load)
         if settled:
@@ -379,6 +391,8 @@
                           receiver=_Receiver(self, request), body=request.body,
                           begin_by=self._now + begin_ns if begin_ns else FAR)
         request.out[number] = attempt
+        if number:
+            event(log, "retry", request=request.name, attempt=number, host=host, timeout_ns=due - self._now)
         if request.exchange is None or request.closing or number >= request.most \
                 or (request.body is not None and request.body.bound):
             attempt.end(Outcome.MOOT)   # never after the answer, nor for a client that may have gone
@@ -394,6 +408,7 @@
         """Final answer: failed."""
         request = self._requests.get(rid)
         if request is not None and request.exchange is not None and not request.streamed:
+            event(log, "failed", request=request.name, attempts=request.attempts, why="decided")
             exchange, request.exchange = request.exchange, None
             exchange.failed()
             self._finish(request)
@@ -402,6 +417,7 @@
         """Final answer: refused, with advice where the module gives one."""
         request = self._requests.get(rid)
         if request is not None and request.exchange is not None and not request.streamed:
+            event(log, "refused", request=request.name, attempts=request.attempts, why="decided")
             exchange, request.exchange = request.exchange, None
             exchange.refused(retry_after_ns)
             self._finish(request)
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -15,6 +15,7 @@
 
 from bridgesaddle.api import MS, SECOND, HostEntry, HostId, HostState, ListKind
 
+from .events import event
 from .timers import Timers, now_ns
 
 log = logging.getLogger("gateway.discovery")
@@ -230,7 +231,7 @@
         if self._status != 200:
             self._owner.ended(self, f"answer {self._status}")
             return
-        self.heard = now_ns()
+        self.heard = self._owner.heard_at = now_ns()
         try:
             self._cut()
         except BadLine as error:
@@ -296,6 +297,7 @@
         self._pushed = pushed
         self._tell = tell
         self._wanted = False
+        self.heard_at = 0        # when discovery last said anything; 0: not yet
         self._rests_until = 0    # 0: the watch does not rest
         self._watch: _Call | None = None
         self._fetch: _Call | None = None
@@ -360,6 +362,7 @@
             self._fetch = self._call(False)
 
     def _call(self, watch: bool) -> _Call:
+        event(log, "discovery_call", watch=watch, at=self.authority, since=self.generation)
         call = _Call(self, watch)
         call.task = self._loop.create_task(self._connect(call))
         self._timers.at(call.due(), self._look, call)
@@ -410,6 +413,7 @@
         self._pause = BACKOFF_FIRST
         self._patience = CUT_SHORT
         call.told = call.told or now_ns()
+        event(log, "list", generation=generation, whole=whole, entries=len(entries))
         self._tell(ListKind.FULL if whole else ListKind.DELTA, entries)
 
     def broken(self, call: _Call, error: Exception) -> None:
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -27,6 +27,7 @@
 from .core import Core, Maker
 from .discovery import Discovery, Lines, Listed
 from .handover import Handover, host_and_port
+from .holdups import HoldUps
 from .peers import Peers
 from .server import Server
 from .stats import Stats
@@ -165,6 +166,7 @@
         clients, hosts = self._room()
         self.room = Room(self._bytes())
         self.core = Core(settings, config.seed, self.timers, config.columns, make)
+        self.holdups = self.core.holdups = HoldUps(loop, self.timers)
         self.upstream = Upstream(loop, self.timers, hosts,
                                   settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns,
                                   self.stats, self.room)
@@ -202,6 +204,7 @@
         if self._config.operator is not None:
             self.operator = await self.admin.listen(self._loop, self._config.operator)
             log.info("operators call %s:%d", *self.operator)
+        self.holdups.start()
         self.timers.after(SWEEP, self._sweep, None)
         self.timers.after(BESIDE, self._looked, None)
         if beside:   # the other one serves meanwhile; a bound socket would draw clients at once
@@ -300,8 +303,14 @@
         return (200, b"draining\n") if on else (200, b"taking clients\n")
 
     def _vars(self) -> Answered:
-        return 200, self.stats.text({"pending": self.server.pending, "members": self.upstream.listed,
-                                     "members_unavailable": self.core.members_unavailable()})
+        heard_at = self.discovery.heard_at
+        return 200, self.stats.text({
+            "pending": self.server.pending, "members": self.upstream.listed,
+            "members_unavailable": self.core.members_unavailable(),
+            "discovery_heard_ms_ago": (now_ns() - heard_at) // MS if heard_at else -1,
+            "list_generation": self.discovery.generation,
+            "hold_ups": self.holdups.count, "hold_ups_ms": self.holdups.total_ns // MS,
+            "hold_up_longest_ms": self.holdups.longest_ns // MS})
 
     def reload(self) -> None:
         """SIGHUP: settings may have changed, discovery moved; a file that is not right changes nothing."""
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -16,6 +16,7 @@
 
 from .body import PIECE, Body, Room
 from .core import Core, Request
+from .events import event
 from .kernel import BROKEN, LEFT, waiting
 from .stats import Stats
 from .timers import Timers, now_ns
@@ -432,6 +433,7 @@
     def _reject(self, error: BadRequest) -> None:
         """Framing is lost: one answer, in its turn, and the connection closes."""
         self.discarding = True
+        event(log, "client_rejected", status=error.status, why=error.why)
         exchange, self._current, self._coming = self._current, None, None
         if exchange is None or exchange.done:   # an answer may come before the end of its request
             exchange = Exchange(self, close=True)
@@ -675,6 +677,7 @@
         if transport is None or transport.is_closing() or self.lingering or not self.between_requests() \
                 or waiting(transport):
             return False
+        event(log, "client_closed", why="idle too long, drained, or to make room", idle_ns=now_ns() - self.since)
         self._linger()
         return True
 
@@ -782,6 +785,7 @@
         try:
             asked = self._checks.check(method, target, headers, body, coming)
         except BadRequest as error:
+            event(log, "request_rejected", status=error.status, why=error.why)
             if coming is not None:
                 exchange.close = True
             exchange.respond(error.status, [], error.why.encode() + b"\n")
@@ -791,10 +795,12 @@
             return
         exchange.cls = asked.name.decode()
         if exchange.conn.leaving:
+            event(log, "failed", request=asked.id, why="read after its client had ended its sending")
             exchange.failed()   # read after its client had ended its sending: nothing is sent for it
             return
         if exchange.conn.surplus or (coming is not None and self.room.full):
             exchange.close = True
+            event(log, "refused", request=asked.id, why="no room for its connection or its body")
             exchange.refused(0)   # nothing was sent for it
             return
         exchange.id = asked.id
--- a/gateway/timers.py
+++ b/gateway/timers.py
@@ -8,10 +8,12 @@
 from time import monotonic_ns as now_ns
 from typing import Any
 
-__all__ = ["FAR", "Timers", "now_ns"]
+__all__ = ["FAR", "LATE", "Timers", "now_ns"]
 
 FAR = 1 << 62
 """The time of what has no deadline."""
+LATE = 25_000_000
+"""A timer that rings later than this, ns, tells that the loop was held up."""
 
 
 class Timers:
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -17,6 +17,7 @@
 
 from .body import PIECE, Body, Room
 from .discovery import Listed
+from .events import event
 from .kernel import waiting
 from .stats import Stats
 from .timers import FAR, Timers, now_ns
@@ -507,7 +508,10 @@
 
     def _learn(self, host_id: HostId, address: tuple[str, int], started: int, state: HostState) -> None:
         host = self._hosts.setdefault(host_id, Host())
-        host.ready = state is HostState.READY
+        ready = state is HostState.READY
+        if ready is not host.ready or started != host.started:
+            event(log, "host_state", host=host_id, state=state.name, at=address[1], started=started)
+        host.ready = ready
         if state is HostState.GONE:
             host.incarnation += 1
             del self._hosts[host_id]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -69,6 +69,7 @@
         self.cls, self.ttl_ns = cls, ttl_ns
         self.core.on_request(self, self)
 
+    id = b"r"
     tenant = key = hint_ns = 0
     repeat = write = False
     payload = (b"", b"")
