--- /dev/null
+++ b/tests/soak/discovery.py
@@ -0,0 +1,223 @@
+"""Discovery of a play: a list with versions, one door for each gateway and address, and faults on each door."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+from typing import Any
+
+from .books import Books, Change, Spell
+from .hosts import Clock, Host
+
+BEAT_S = 2.0
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+BUSY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+class Door:
+    """The address at which one gateway finds discovery."""
+
+    def __init__(self, service: Discovery, gateway: str) -> None:
+        self._service = service
+        self.gateway = gateway
+        self._loop = asyncio.get_running_loop()
+        self._fill: list[socket.socket] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._watches: set[asyncio.StreamWriter] = set()
+        self._calls = 0
+        self.call_s = 0.0
+        self.rate = 0.0             # bytes a second, 0: no limit
+        self.busy = False           # 503 at once
+        self.hangs = False          # calls come and are not answered
+        self.silent: set[asyncio.StreamWriter] = set()   # watches that get nothing any more
+        self.ends = False           # watches end rather than tell
+        self.cuts = 0               # so many lines are cut short
+        self.repeats = False        # behind each line the one before it comes once more
+        self.whole = False          # calls are answered with the whole list, which leaves out what drains
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(("127.0.0.1", 0))
+        self._socket.setblocking(False)
+        self._socket.listen(512)
+        self.address = f"127.0.0.1:{self._socket.getsockname()[1]}"
+        self._loop.add_reader(self._socket, self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, peer = self._socket.accept()
+            except OSError:
+                return
+            if any(peer == own.getsockname() for own in self._fill):
+                sock.close()
+                continue
+            task = self._loop.create_task(self._serve(sock))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def drop(self, active: bool) -> None:
+        """New connections never come up: the queue of the listener is full, and nobody takes from it."""
+        if active and not self._fill:
+            self._loop.remove_reader(self._socket)
+            self._socket.listen(0)
+            for _ in range(2):
+                sock = socket.socket()
+                sock.setblocking(False)
+                sock.connect_ex(self._socket.getsockname())
+                self._fill.append(sock)
+        elif not active and self._fill:
+            self._socket.listen(512)
+            self._loop.add_reader(self._socket, self._accept)
+            self._accept()
+            for sock in self._fill:
+                sock.close()
+            self._fill = []
+
+    def reset(self) -> None:
+        """Every open call is reset."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    def fall_silent(self) -> None:
+        """The watches that are open now get nothing any more."""
+        self.silent |= self._watches
+
+    async def _serve(self, sock: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=sock)
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            await self._answer(head, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._watches.discard(writer)
+            self.silent.discard(writer)
+            writer.close()
+
+    async def _answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
+        self._calls += 1
+        self._service.calls += 1
+        if self.call_s:
+            await asyncio.sleep(self.call_s)
+        while self.hangs:
+            await asyncio.sleep(0.02)
+        if self.busy:
+            writer.write(BUSY)
+            await writer.drain()
+            return
+        service = self._service
+        if b"watch=1" not in head:
+            generation = service.generation
+            body = service.line(self.gateway, -1, True)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%b" % (len(body), body))
+            await writer.drain()
+            service.told(self.gateway, generation)
+            return
+        since = int(head.split(b"from=")[1].split(b" ")[0].split(b"&")[0])
+        writer.write(HEAD)
+        self._watches.add(writer)
+        first = True
+        last = b""
+        while True:
+            changed = service.changed
+            if first or since < service.generation:
+                if self.ends and not first:
+                    return
+                generation = service.generation
+                text = service.line(self.gateway, since, not 0 < since <= generation or (first and self.whole)) + b"\n"
+                if await self._say(writer, text):
+                    service.told(self.gateway, generation)
+                if self.repeats and last:   # an older line comes once more
+                    await self._say(writer, last)
+                since, first, last = generation, False, text
+            try:
+                async with asyncio.timeout(BEAT_S):
+                    await changed.wait()
+            except TimeoutError:
+                await self._say(writer, b"\n")
+
+    async def _say(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
+        """Write one chunk; whether it has left whole."""
+        if writer in self.silent:
+            return False
+        if writer.transport.is_closing():
+            raise ConnectionResetError
+        if self.cuts and len(data) > 1:
+            self.cuts -= 1
+            data = data[:len(data) // 2]
+            writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+            return False
+        whole = b"%x\r\n%b\r\n" % (len(data), data)
+        if not self.rate:
+            writer.write(whole)
+            await writer.drain()
+            return True
+        step = max(1, int(self.rate * 0.02))
+        for at in range(0, len(whole), step):
+            writer.write(whole[at:at + step])
+            await asyncio.sleep(step / self.rate)
+        return True
+
+    async def close(self) -> None:
+        """It ends."""
+        self.drop(False)
+        self._loop.remove_reader(self._socket)
+        self._socket.close()
+        self.reset()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+class Discovery:
+    """The list, its versions, and the doors."""
+
+    def __init__(self, books: Books, clock: Clock, hosts: dict[str, Host], gateways: list[str]) -> None:
+        self._books = books
+        self._clock = clock
+        self._hosts = hosts
+        self.states = {name: "in_service" for name in hosts}
+        self._changed_at = dict.fromkeys(hosts, 1)
+        self.generation = 1
+        self.calls = 0
+        self.changed = asyncio.Event()
+        self.doors = {name: [Door(self, name), Door(self, name)] for name in gateways}
+
+    def change(self, host: str, state: str) -> None:
+        """A host drains (`terminating`), is gone (`terminated`) or serves (`in_service`)."""
+        self.generation += 1
+        self.states[host] = state
+        self._changed_at[host] = self.generation
+        self._books.changes.append(Change(self._clock(), self.generation, host, state == "in_service"))
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def row(self, gateway: str, name: str) -> dict[str, Any]:
+        """A host's entry as this gateway is told it."""
+        host = self._hosts[name]
+        return {"instanceId": name, "hostPort": host.addresses[gateway], "zone": "a", "machineType": "m", "cell": 0,
+                "lifecycle": self.states[name], "weight": 1.0, "startedAtMs": host.started_ms}
+
+    def line(self, gateway: str, since: int, whole: bool) -> bytes:
+        """The list, or what has changed after a version."""
+        rows = [self.row(gateway, name) for name, state in self.states.items()
+                if (whole and state == "in_service") or (not whole and self._changed_at[name] > since)]
+        return json.dumps({"generation": self.generation, "reset": whole, "instances": rows}).encode()
+
+    def told(self, gateway: str, generation: int) -> None:
+        """A list has left for a gateway."""
+        for life in reversed(self._books.lives):
+            if life.gateway == gateway:
+                life.written.append((self._clock(), generation))
+                return
+
+    def spell(self, gateway: str, kind: str) -> Spell:
+        """A stretch without discovery, or with a silent watch, begins."""
+        spell = Spell(gateway, kind, self._clock())
+        self._books.spells.append(spell)
+        return spell
+
+    async def close(self) -> None:
+        """It ends."""
+        for doors in self.doors.values():
+            for door in doors:
+                await door.close()
--- /dev/null
+++ b/tests/soak/play.py
@@ -0,0 +1,324 @@
+"""Plays a plan: starts everything, lets the faults happen at their times, and judges what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import socket
+import time
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from .books import Books, Cold, Spell, Terms
+from .clients import Client, Front
+from .discovery import Discovery, Door
+from .hosts import Host
+from .plan import AFTER_TERM_S, ALL, LONGEST_S, Fault, Plan
+from .processes import ROOT, GatewayProcess, build_shim, temporary_folder
+
+WORK_S = 0.008
+"""Mean time that a host takes for a request."""
+WINDOW_S = 3.0
+COLD_CAPACITY = 250.0
+"""Requests a second that a warm host is said to be able to do."""
+CROSSING_S = 0.3
+"""So long after SIGTERM the front still sends new connections."""
+END_S = 1.0
+"""After the last fault clients stop, and what is out ends."""
+LAG_S = 0.01
+"""The test's own loop is late by as much without a note."""
+FAILING = ("accept", "connect", "socket", "read", "write", "epoll", "fsync", "disk")
+
+
+@dataclass
+class Played:
+    """What came of a play."""
+
+    broken: dict[str, list[str]]
+    figures: dict[str, float]
+    books: Books
+
+
+def settings(plan: Plan) -> dict[str, Any]:
+    """The settings of the gateways."""
+    classes: list[dict[str, Any]] = [
+        {"name": "read", "effect": "read_like"},
+        {"name": "keyed", "effect": "idempotency_key", "group": "all", "window-ns": int(WINDOW_S * 1e9)},
+        {"name": "once", "effect": "non_idempotent"}]
+    return {"az": 0, "zones": ["a"], "flavors": ["m"], "replicas-of-me": plan.gateways, "round-ns": 5_000_000,
+            "discovery": "pushed" if plan.pushed else "on_request",
+            "caps": {"cancel": True, "max-attempts": 4, "may-duplicate": False, "dial-timeout-ns": 250_000_000,
+                     "conn-idle-ns": 15_000_000_000},
+            "rules": {"ask-within-ns": 6_000_000_000, "drain-grace-ns": int(plan.grace * 1e9), "cold-from": 0.12,
+                      "warm-within-ns": 24_000_000_000, "overload-factor": 3.0, "fall-ns": 1_500_000_000},
+            "request-classes": [{"give-up-ns": int(LONGEST_S * 1e9), "slo-ns": 400_000_000, "credit": 1.0,
+                                 "late-value": 0.3, **cls} for cls in classes]}
+
+
+class Play:
+    """One play."""
+
+    def __init__(self, plan: Plan, folder: Path, shim: Path | None, root: Path = ROOT) -> None:
+        self.plan = plan
+        self._rng = random.Random(plan.seed ^ 0x50A4)
+        self._begun = time.monotonic()
+        self.books = Books(Terms(plan.pushed, plan.grace, WINDOW_S,
+                                 unread=any(fault.kind in ("calls", "crowd") for fault in plan.faults)))
+        names = [f"n{number}" for number in range(plan.gateways)]
+        self.hosts = {f"h{number}": Host(f"h{number}", self.books, self.clock, self._rng, WORK_S)
+                      for number in range(plan.hosts)}
+        self._names, self._folder, self._shim, self._root = names, folder, shim, root
+        self.gateways: dict[str, GatewayProcess] = {}
+        self.fronts: dict[str, Front] = {}
+        self.discovery: Discovery
+        self._door: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._clients: list[asyncio.Task[None]] = []
+        self._idle: list[socket.socket] = []
+
+    def clock(self) -> float:
+        """Seconds since the start of the play."""
+        return time.monotonic() - self._begun
+
+    async def run(self) -> Played:
+        """Play it whole."""
+        for host in self.hosts.values():
+            await host.listen(self._names)
+        self.discovery = Discovery(self.books, self.clock, self.hosts, self._names)
+        try:
+            await self._start()
+            lag = asyncio.create_task(self._watch_lag())
+            await self._faults()
+            for task in self._clients:
+                task.cancel()
+            await asyncio.gather(*self._clients, return_exceptions=True)
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            lag.cancel()
+            return Played(self.books.verdict(), self.books.figures() | {"calls": self.discovery.calls}, self.books)
+        finally:
+            for gateway in self.gateways.values():
+                await gateway.close()
+            await self.discovery.close()
+            for host in self.hosts.values():
+                host.close()
+            for sock in self._idle:
+                sock.close()
+
+    async def _start(self) -> None:
+        plan = self.plan
+        for name in self._names:
+            rows = [self.discovery.row(name, host) for host in self.hosts]
+            known = {"generation": 1, "reset": True, "instances": rows}
+            config = {"discovery": self.discovery.doors[name][0].address, "known": known, "settings": settings(plan),
+                      "limits": {"cores": 1.0, "memory_mb": 192, "sockets": plan.sockets}}
+            self._door[name] = 0
+            self.gateways[name] = GatewayProcess(name, self._folder / name, config, self.books, self.clock,
+                                                 self._shim, self._root)
+            self.fronts[name] = Front(name, self.gateways[name].address, patience=plan.patience)
+        await asyncio.gather(*(self._launch(name) for name in self._names))
+        self._begun = time.monotonic()
+        for life in self.books.lives:   # the play begins now
+            life.start = 0.0
+            life.written = [(0.0, generation) for _, generation in life.written]
+        for name, front in self.fronts.items():
+            for number in range(plan.clients):
+                client = Client(front, self.books, self.clock, self._rng, plan.pause, plan.leaves, f"{name}.{number}")
+                self._clients.append(asyncio.create_task(client.run()))
+
+    async def _launch(self, name: str) -> None:
+        gateway = self.gateways[name]
+        await gateway.start()
+        if await gateway.ready():
+            self.fronts[name].takes = True
+        elif gateway.life is not None and not gateway.life.died:
+            gateway.life.died = f"not ready in time: {gateway.last_words()}"
+
+    async def _watch_lag(self) -> None:
+        while True:
+            begun = self.clock()
+            await asyncio.sleep(0.01)
+            lag = self.clock() - begun - 0.01
+            if lag > LAG_S:
+                self.books.lags.append((self.clock(), lag))
+
+    # ---- Faults ------------------------------------------------------------------------------------------
+
+    async def _faults(self) -> None:
+        for fault in self.plan.faults:
+            await asyncio.sleep(max(0.0, fault.at - self.clock()))
+            task = asyncio.create_task(self._strike(fault))
+            self._tasks.add(task)
+        await asyncio.sleep(max(0.0, self.plan.lasts - self.clock()))
+
+    async def _strike(self, fault: Fault) -> None:
+        if fault.kind in ("drain", "gone", "ready", "cold") and fault.on in self.hosts:
+            self._host_fault(fault)
+            return
+        names = self._names if fault.on == ALL else [fault.on]
+        if fault.kind in ("cold", "host_hang", "host_reset"):
+            await self._at_a_host(fault)
+            return
+        action: Callable[[str, Fault], Any] = getattr(self, f"_{fault.kind}")
+        await asyncio.gather(*(action(name, fault) for name in names))
+
+    def _host_fault(self, fault: Fault) -> None:
+        state = {"drain": "terminating", "gone": "terminated", "ready": "in_service", "cold": "in_service"}[fault.kind]
+        if fault.kind == "cold":
+            self._restart_host(fault.on)
+        else:
+            self.discovery.change(fault.on, state)
+
+    def _restart_host(self, name: str) -> None:
+        host = self.hosts[name]
+        host.reset_all()
+        host.started_ms = time.time_ns() // 1_000_000
+        self.books.colds = [cold for cold in self.books.colds if cold.host != name]
+        self.books.colds.append(Cold(name, self.clock(), COLD_CAPACITY))
+        self.discovery.change(name, "in_service")
+
+    async def _at_a_host(self, fault: Fault) -> None:
+        name = self._rng.choice(list(self.hosts))
+        if fault.kind == "cold":
+            self._restart_host(name)
+        elif fault.kind == "host_reset":
+            self.hosts[name].reset_all()
+        else:
+            self.hosts[name].hanging = True
+            await asyncio.sleep(fault.lasts)
+            self.hosts[name].hanging = False
+
+    def _at(self, name: str) -> Door:
+        return self.discovery.doors[name][self._door[name]]
+
+    async def _spell(self, name: str, kind: str, lasts: float) -> Spell:
+        spell = self.discovery.spell(name, kind)
+        await asyncio.sleep(lasts)
+        spell.end = self.clock()
+        return spell
+
+    async def _stop(self, name: str, fault: Fault) -> None:
+        self.gateways[name].signal(signal.SIGSTOP)
+        await asyncio.sleep(fault.lasts)
+        self.gateways[name].signal(signal.SIGCONT)
+
+    async def _drop(self, name: str, fault: Fault) -> None:
+        door = self._at(name)
+        door.drop(True)
+        await self._spell(name, "away", fault.lasts)
+        door.drop(False)
+
+    async def _hang(self, name: str, fault: Fault) -> None:
+        door = self._at(name)
+        door.hangs = True
+        await self._spell(name, "away", fault.lasts)
+        door.hangs = False
+
+    async def _busy(self, name: str, fault: Fault) -> None:
+        door = self._at(name)
+        door.busy = True
+        await self._spell(name, "away", fault.lasts)
+        door.busy = False
+
+    async def _slow(self, name: str, fault: Fault) -> None:
+        door = self._at(name)
+        door.call_s = fault.size
+        await self._spell(name, "away", fault.lasts + fault.size)   # a call takes a turn: it can't be heard sooner
+        door.call_s = 0.0
+
+    async def _reset(self, name: str, fault: Fault) -> None:
+        self._at(name).reset()
+
+    async def _silent(self, name: str, fault: Fault) -> None:
+        self._at(name).fall_silent()
+        await self._spell(name, "silent", 60.0 if fault.lasts else 0.0)
+
+    async def _ends(self, name: str, fault: Fault) -> None:
+        await self._switch(name, "ends", fault.lasts)
+
+    async def _repeats(self, name: str, fault: Fault) -> None:
+        await self._switch(name, "repeats", fault.lasts)
+
+    async def _whole(self, name: str, fault: Fault) -> None:
+        await self._switch(name, "whole", fault.lasts)
+
+    async def _switch(self, name: str, what: str, lasts: float) -> None:
+        door = self._at(name)
+        setattr(door, what, True)
+        await asyncio.sleep(lasts)
+        setattr(door, what, False)
+
+    async def _cuts(self, name: str, fault: Fault) -> None:
+        self._at(name).cuts = int(fault.size)
+        await asyncio.sleep(fault.lasts)
+        self._at(name).cuts = 0
+
+    async def _reload(self, name: str, fault: Fault) -> None:
+        self.gateways[name].signal(signal.SIGHUP)
+
+    async def _move(self, name: str, fault: Fault) -> None:
+        self._door[name] = 1 - self._door[name]
+        gateway = self.gateways[name]
+        gateway.config["discovery"] = self._at(name).address
+        gateway.write()
+        gateway.signal(signal.SIGHUP)
+
+    async def _term(self, name: str, fault: Fault) -> None:
+        gateway, front = self.gateways[name], self.fronts[name]
+        gateway.signal(signal.SIGTERM)
+        await asyncio.sleep(CROSSING_S)
+        front.takes = False
+        await asyncio.sleep(max(0.0, LONGEST_S + AFTER_TERM_S - CROSSING_S))
+        gateway.signal(signal.SIGCONT)
+        gateway.signal(signal.SIGKILL)
+        await gateway.ended()
+        await self._launch(name)
+
+    async def _kill(self, name: str, fault: Fault) -> None:
+        gateway, front = self.gateways[name], self.fronts[name]
+        gateway.signal(signal.SIGKILL)
+        await gateway.ended()
+        front.takes = False
+        await asyncio.sleep(fault.lasts * self._rng.random())
+        await self._launch(name)
+
+    async def _clock(self, name: str, fault: Fault) -> None:
+        self.gateways[name].control.step_clock(fault.size)
+
+    async def _calls(self, name: str, fault: Fault) -> None:
+        control = self.gateways[name].control
+        for operation in FAILING:
+            control.rate(operation, int(fault.size))
+        await asyncio.sleep(fault.lasts)
+        for operation in FAILING:
+            control.rate(operation, 0)
+
+    async def _crowd_comes(self, name: str, count: int) -> None:
+        for _ in range(count):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex(self.gateways[name].address)
+            self._idle.append(sock)
+
+    async def _crowd(self, name: str, fault: Fault) -> None:
+        await self._crowd_comes(name, int(fault.size))
+
+
+async def play(plan: Plan, shim: Path | None, root: Path = ROOT, keep: Path | None = None) -> Played:
+    """Play a plan in a folder of its own; `keep` gets the gateways' logs."""
+    with temporary_folder() as name:
+        folder = Path(name)
+        try:
+            return await Play(plan, folder, shim, root).run()
+        finally:
+            if keep is not None:
+                keep.mkdir(parents=True, exist_ok=True)
+                for log in folder.glob("*/log"):
+                    with suppress(OSError):
+                        (keep / f"{log.parent.name}.log").write_bytes(log.read_bytes())
+
+
+__all__ = ["Play", "Played", "build_shim", "play", "settings"]
