--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -7,8 +7,8 @@
 import signal
 import socket
 import time
-from collections.abc import Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -79,6 +79,7 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._clients: list[asyncio.Task[None]] = []
         self._idle: list[socket.socket] = []
+        self._wall_step_s = 0.0   # of the hosts' clock
 
     def clock(self) -> float:
         """Seconds since the start of the play."""
@@ -86,10 +87,7 @@
 
     async def run(self) -> Played:
         """Play it whole."""
-        for host in self.hosts.values():
-            await host.listen(self._names)
-        self.discovery = Discovery(self.books, self.clock, self.hosts, self._names)
-        try:
+        async with self.parts():
             await self._start()
             lag = asyncio.create_task(self._watch_lag())
             await self._faults()
@@ -99,6 +97,16 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
             lag.cancel()
             return Played(self.books.verdict(), self.books.figures() | {"calls": self.discovery.calls}, self.books)
+
+    @asynccontextmanager
+    async def parts(self) -> AsyncIterator[None]:
+        """Hosts, discovery and the gateways' folders; no gateway runs yet, and none does afterwards."""
+        for host in self.hosts.values():
+            await host.listen(self._names)
+        self.discovery = Discovery(self.books, self.clock, self.hosts, self._names)
+        self._prepare()
+        try:
+            yield
         finally:
             for gateway in self.gateways.values():
                 await gateway.close()
@@ -108,7 +116,7 @@
             for sock in self._idle:
                 sock.close()
 
-    async def _start(self) -> None:
+    def _prepare(self) -> None:
         plan = self.plan
         for name in self._names:
             rows = [self.discovery.row(name, host) for host in self.hosts]
@@ -119,6 +127,9 @@
             self.gateways[name] = GatewayProcess(name, self._folder / name, config, self.books, self.clock,
                                                  self._shim, self._root)
             self.fronts[name] = Front(name, self.gateways[name].address, patience=plan.patience)
+
+    async def _start(self) -> None:
+        plan = self.plan
         await asyncio.gather(*(self._launch(name) for name in self._names))
         self._begun = time.monotonic()
         for life in self.books.lives:   # the play begins now
@@ -175,7 +186,7 @@
     def _restart_host(self, name: str) -> None:
         host = self.hosts[name]
         host.reset_all()
-        host.started_ms = time.time_ns() // 1_000_000
+        host.started_ms = time.time_ns() // 1_000_000 + int(self._wall_step_s * 1000)
         self.books.colds = [cold for cold in self.books.colds if cold.host != name]
         self.books.colds.append(Cold(name, self.clock(), COLD_CAPACITY))
         self.discovery.change(name, "in_service")
@@ -286,6 +297,9 @@
         await self._launch(name)
 
     async def _clock(self, name: str, fault: Fault) -> None:
+        """The wall clock steps: on one machine, or on all and at the hosts too, which read the same one."""
+        if fault.on == ALL:
+            self._wall_step_s = fault.size
         self.gateways[name].control.step_clock(fault.size)
 
     async def _calls(self, name: str, fault: Fault) -> None:
--- a/tests/test_incident_27.py
+++ b/tests/test_incident_27.py
@@ -5,14 +5,26 @@
 
 from __future__ import annotations
 
+import asyncio
+import errno
+import json
+import os
+import time
 from pathlib import Path
 from typing import Any
 
 import pytest
 import uvloop
 
+from bridgesaddle.api import HostState, ListKind
+from gateway.calls import Call
+from gateway.discovery import Discovery
+from gateway.failover import Failover, KeptList
+from gateway.lines import Lines
+from gateway.starts import StartTimes
+from gateway.timers import Timers
 from tests.soak.plan import Fault, Plan
-from tests.soak.play import Played, build_shim, play
+from tests.soak.play import Play, Played, build_shim, play
 
 
 @pytest.fixture(scope="session")
@@ -57,3 +69,89 @@
         before = books.served(fault.at - 1.0, fault.at)
         after = books.served(fault.at + fault.lasts + 1.0, fault.at + fault.lasts + 2.0)
         assert after >= 0.9 * before, (fault.at, before, after)
+
+
+def test_a_start_meets_ten_failing_calls_and_is_ready(shim: Path, tmp_path: Path) -> None:
+    async def scene(operation: str, pushed: bool) -> None:
+        stage = Play(Plan(1, 1, 2, 1, 1.0, pushed, 0.3, 1.0, 0.0), tmp_path / f"{operation}-{pushed}", shim)
+        async with stage.parts():
+            gateway = stage.gateways["n0"]
+            gateway.control.next(operation, 10)
+            await gateway.start()
+            assert await gateway.ready(), gateway.last_words()
+            await gateway.close()
+    for operation in ("socket", "bind", "connect", "accept", "epoll", "disk"):
+        uvloop.run(scene(operation, operation == "connect"))
+
+
+def test_a_host_that_starts_is_taken_for_cold_whatever_the_wall_clock_did(shim: Path) -> None:
+    everywhere = [[Fault(1.0, "clock", "*", 0.1, step)] for step in (3600.0, -3600.0)]
+    here = [[Fault(1.0, "clock", "n0", 0.1, step), Fault(1.1, "kill", "n0", 0.1)] for step in (3600.0, -3600.0)]
+    for steps in everywhere + here:
+        result = played(shim, [*steps, Fault(4.0, "cold", "h0"), Fault(6.0, "cold", "h0")], lasts=9.0)
+        assert result.broken == {}, steps
+        served = [begin.at for begin in result.books.begins if begin.host == "h0"]
+        assert max(served) > 8.0, (steps, "it gets nothing for an hour")
+
+
+def test_a_list_that_could_not_be_written_is_still_owed(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    wrote: list[int] = []
+
+    def no_room(_: int) -> None:
+        wrote.append(1)
+        if len(wrote) <= 2:
+            raise OSError(errno.ENOSPC, "no space left")
+    monkeypatch.setattr(os, "fsync", no_room)
+    (tmp_path / "list-n0.json.999999999.new").write_text("half")   # of a process that was killed in the middle
+    kept = KeptList(str(tmp_path), "n0")
+
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        discovery = Failover(loop, Timers(loop), [("127.0.0.1", 1)], Lines(["a"], [], StartTimes()), True,
+                             lambda kind, listed: None, kept)
+        discovery.known({"generation": 1, "reset": True, "instances": []})
+        call = Call(discovery, True)
+        row = {"instanceId": "h0", "hostPort": "127.0.0.1:9", "zone": "a", "lifecycle": "in_service"}
+        discovery.line(call, json.dumps({"generation": 2, "reset": True, "instances": [row]}).encode())
+        until = time.monotonic() + 10
+        while kept.read() is None and time.monotonic() < until:
+            await asyncio.sleep(0.05)
+        discovery.close()
+    uvloop.run(scene())
+    told = kept.read()
+    assert told is not None and told["generation"] == 2
+    assert [path.name for path in tmp_path.iterdir()] == ["list-n0.json"]
+
+
+def test_a_list_that_is_refused_changes_nothing_that_is_remembered() -> None:
+    lines = Lines(["a"], [], StartTimes())
+    row = {"instanceId": "h0", "hostPort": "127.0.0.1:9", "zone": "a", "lifecycle": "in_service"}
+    lines.parse({"generation": 1, "reset": True, "instances": [row]})
+    lines.read({"generation": 0, "reset": True, "instances": []})   # not accepted
+    [item] = lines.read({"generation": 2, "instances": [{**row, "zone": "z"}]}).listed
+    assert item.entry.host == "h0"   # its broken entry is still mended by what was accepted
+
+
+@pytest.mark.parametrize("first", [True, False])
+def test_an_older_version_that_comes_after_a_newer_one_is_not_taken(first: bool) -> None:
+    async def scene() -> None:
+        loop = asyncio.get_running_loop()
+        told: list[tuple[ListKind, list[HostState]]] = []
+        discovery = Discovery(loop, Timers(loop), ("127.0.0.1", 1), Lines(["a"], [], StartTimes()), False,
+                              lambda kind, listed: told.append((kind, [item.entry.state for item in listed])))
+        discovery.known({"generation": 1, "reset": True, "instances": []})
+        discovery.watch(True)
+        call = discovery._watch
+        assert call is not None
+
+        def line(generation: int, lifecycle: str) -> bytes:
+            return json.dumps({"generation": generation, "instances": [{
+                "instanceId": "h0", "hostPort": "127.0.0.1:9", "zone": "a", "lifecycle": lifecycle}]}).encode()
+        discovery.line(call, line(3, "terminating"))
+        if first:
+            call.told = 0
+        discovery.line(call, line(2, "in_service"))
+        assert told[1:] == [(ListKind.DELTA, [HostState.DRAINING]), (ListKind.FAILED, [])]
+        assert (call.over, discovery.since) == (True, 0)   # the whole list is asked for
+        discovery.close()
+    uvloop.run(scene())
