--- a/gateway/admin.py
+++ b/gateway/admin.py
@@ -11,6 +11,7 @@
 from bridgesaddle.api import MS, SECOND
 
 from .timers import now_ns
+from .transient import bound, persistently
 
 MAX_CALL = 8 * 1024
 """Longest call, bytes; none of them needs a body."""
@@ -113,9 +114,15 @@
         self.closing = False
 
     async def listen(self, loop: asyncio.AbstractEventLoop, address: tuple[str, int]) -> tuple[str, int]:
-        """Listen there, alone; returns the address."""
-        self._listener = await loop.create_server(lambda: Caller(self), *address, backlog=128,
-                                                  reuse_address=True)
+        """Listen there, alone; returns the address.  Raises OSError where that stays impossible."""
+        async def begin() -> asyncio.Server:
+            sock = bound(address, shared=False)
+            try:
+                return await loop.create_server(lambda: Caller(self), sock=sock, backlog=128)
+            except OSError:
+                sock.close()
+                raise
+        self._listener = await persistently(begin, lambda: not self.closing)
         name: tuple[str, int] = self._listener.sockets[0].getsockname()[:2]
         return name
 
--- a/gateway/failover.py
+++ b/gateway/failover.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import glob
 import json
 import logging
 import os
@@ -36,6 +37,8 @@
 TOUCH = 60 * SECOND
 GATHER = SECOND // 5
 """Changes so close together are written once."""
+AGAIN_FIRST = SECOND
+"""A list that could not be written is written again after so long, doubling up to `TOUCH`."""
 MOST_BYTES = 64 << 20
 
 Address = tuple[str, int]
@@ -47,12 +50,21 @@
     def __init__(self, folder: str, name: str) -> None:
         safe = "".join(letter if letter.isalnum() or letter in "-_" else "_" for letter in name) or "gateway"
         self.path = os.path.join(folder, f"list-{safe}.json")
+        self._remove_leftovers()
+
+    def _remove_leftovers(self) -> None:
+        """Files that killed processes have left half written."""
+        for path in glob.glob(f"{glob.escape(self.path)}.*.new"):
+            pid = path.split(".")[-2]
+            if pid.isdigit() and not os.path.exists(f"/proc/{pid}"):
+                with contextlib.suppress(OSError):
+                    os.unlink(path)
 
     def read(self) -> dict[str, Any] | None:
         """The list; None where there is none that can be used."""
         try:
             with open(self.path, "rb") as file:
-                age = time.time() - os.fstat(file.fileno()).st_mtime
+                age = max(0.0, time.time() - os.fstat(file.fileno()).st_mtime)   # the clock may have been set back
                 data = file.read(MOST_BYTES)
             head, _, body = data.partition(b"\n")
             crc, length = head.removeprefix(MAGIC).split()
@@ -61,16 +73,17 @@
             if age > KEPT_S:
                 raise ValueError(f"it is {age / 3600:.0f} hours old")
             told: dict[str, Any] = json.loads(body)
+            told["generation"] = int(told["generation"])
             log.info("the kept list is %.0f s old, version %s", age, told.get("generation"))
             return told
         except FileNotFoundError:
             return None
-        except (OSError, ValueError, RecursionError, AttributeError) as error:
+        except (OSError, LookupError, TypeError, ValueError, RecursionError, AttributeError) as error:
             log.warning("%s is not used: %s", self.path, error)
             return None
 
-    def write(self, told: dict[str, Any]) -> None:
-        """Replace the file.  A folder that can't be written is a line in the log."""
+    def write(self, told: dict[str, Any]) -> bool:
+        """Replace the file; whether it is on disk.  A folder that can't be written is a line in the log."""
         fresh = f"{self.path}.{os.getpid()}.new"
         try:
             body = json.dumps(told, separators=(",", ":")).encode()
@@ -79,10 +92,21 @@
                 file.flush()
                 os.fsync(file.fileno())
             os.replace(fresh, self.path)
+            self._sync_folder()
         except OSError as error:
             log.warning("the list is not kept: %s", error)
             with contextlib.suppress(OSError):
                 os.unlink(fresh)
+            return False
+        return True
+
+    def _sync_folder(self) -> None:
+        """The new name is on disk too."""
+        fd = os.open(os.path.dirname(self.path) or ".", os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
 
     def touch(self) -> None:
         """It is still the list."""
@@ -103,7 +127,9 @@
         self._rows: dict[str, Any] = {}
         self._kept = kept
         self._thread = ThreadPoolExecutor(1, "list") if kept is not None else None
-        self._writing = False
+        self._writing = False          # a list waits to be written
+        self._on_disk = False          # the kept list is the one that is known
+        self._again = AGAIN_FIRST
         timers.after(TOUCH, self._confirm, None)
 
     # ---- What is told ------------------------------------------------------------------------------------
@@ -111,10 +137,15 @@
     def known(self, listed: Any) -> None:
         """The newer of the configuration's list and the one that was kept."""
         kept = self._kept.read() if self._kept is not None else None
+        if not isinstance(listed, dict):
+            super().known(listed)
+            listed = {}
         if kept is not None and (not listed.get("instances") or kept["generation"] > listed.get("generation", 0)):
             listed = kept
         super().known(listed)
-        self._rows = {row["instanceId"]: row for row in listed.get("instances", ()) if "instanceId" in row}
+        rows = listed.get("instances")
+        self._rows = {row["instanceId"]: row for row in (rows if isinstance(rows, list) else ())
+                      if isinstance(row, dict) and isinstance(row.get("instanceId"), str)}
 
     def _doubt(self, told: dict[str, Any], change: Change) -> str:
         if change.generation < self.generation:
@@ -132,17 +163,36 @@
             return "a list that can't be read for the most part"
         self._rows = rows
         self._failed = 0
+        self._on_disk = False
+        self._save_after(GATHER)
+        return ""
+
+    def _save_after(self, delay_ns: int) -> None:
         if self._kept is not None and not self._writing:
             self._writing = True
-            self._timers.after(GATHER, self._save, None)
-        return ""
+            self._timers.after(delay_ns, self._save, None)
 
     def _save(self, _: None) -> None:
         if not self._writing or self._kept is None or self._thread is None:
             return
         self._writing = False
         told = {"generation": self.generation, "reset": True, "instances": list(self._rows.values())}
-        self._thread.submit(self._kept.write, told)
+        generation = self.generation
+        self._thread.submit(self._kept.write, told).add_done_callback(
+            lambda done: self._hear_written(done.exception() is None and done.result(), generation))
+
+    def _hear_written(self, on_disk: bool, generation: int) -> None:
+        with contextlib.suppress(RuntimeError):   # the loop has ended
+            self._loop.call_soon_threadsafe(self._written, on_disk, generation)
+
+    def _written(self, on_disk: bool, generation: int) -> None:
+        """A list that could not be written is still owed."""
+        if on_disk:
+            self._again = AGAIN_FIRST
+            self._on_disk = generation == self.generation and not self._writing
+        else:
+            self._save_after(self._again)
+            self._again = min(2 * self._again, TOUCH)
 
     # ---- Services ----------------------------------------------------------------------------------------
 
@@ -185,7 +235,7 @@
         """A list that a living watch confirms is not old."""
         if self._kept is None or self._thread is None:
             return
-        if self._watch is not None and self._watch.heard:
+        if self._watch is not None and self._watch.heard and self._on_disk:
             self._thread.submit(self._kept.touch)
         self._timers.after(TOUCH, self._confirm, None)
 
--- a/gateway/handover.py
+++ b/gateway/handover.py
@@ -31,28 +31,50 @@
     def __init__(self, address: tuple[str, int], folder: str = "") -> None:
         host, port = address
         self._alone = port == 0   # the system's choice of address: nobody can share it
-        self._folder = folder or tempfile.gettempdir()
+        self._folder = folder or os.environ.get("TMPDIR") or "/tmp"
         self._prefix = f"gateway-{host.replace('/', '_')}-{port}-"
         self._path = ""
         self._fd = -1
+        self._untold = False   # that it takes clients
+        self._over = False
 
     def register(self) -> None:
-        """Tell others that this process lives.  Where no file can be written, it is alone."""
-        if self._alone or self._path:
+        """Tell others that this process lives.  While no file can be written it is alone; it may be called again."""
+        if self._alone or self._path or self._over:
             return
+        hidden = ""
         try:
             # Locked before it has its name: guards against being taken for a leftover.
-            self._fd, path = tempfile.mkstemp(prefix="." + self._prefix, dir=self._folder)
+            self._fd, hidden = tempfile.mkstemp(prefix="." + self._prefix, dir=self._folder)
             fcntl.flock(self._fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            self._path = os.path.join(self._folder, os.path.basename(path)[1:])
-            os.rename(path, self._path)
+            path = os.path.join(self._folder, os.path.basename(hidden)[1:])
+            os.rename(hidden, path)
+            self._path = path
         except OSError as error:
             log.warning("no file for handing over: %s", error)
+            self._drop(hidden)
+
+    def _drop(self, path: str) -> None:
+        """Nothing stays of a file that can't be used."""
+        if path:
+            with contextlib.suppress(OSError):
+                os.unlink(path)
+        if self._fd >= 0:
+            os.close(self._fd)
+            self._fd = -1
 
     def serving(self) -> None:
         """Tell others that this process takes clients."""
-        if self._path:
-            os.pwrite(self._fd, SERVING, 0)
+        self._untold = not self._alone
+        self.tell_serving()
+
+    def tell_serving(self) -> None:
+        """Write what could not be written before: the folder may have been full for a while."""
+        if self._untold and self._path:
+            try:
+                self._untold = os.pwrite(self._fd, SERVING, 0) < len(SERVING)
+            except OSError as error:
+                log.warning("others are not told yet that this process takes clients: %s", error)
 
     def beside(self) -> bool:
         """Whether another process of this gateway lives."""
@@ -83,19 +105,22 @@
                 fcntl.flock(fd, fcntl.LOCK_SH | fcntl.LOCK_NB)
                 os.unlink(path)
             except BlockingIOError:
-                found.append(os.read(fd, len(SERVING)))
+                found.append(self._read(fd))
             except OSError as error:
                 log.warning("a leftover stays: %s", error)
             finally:
                 os.close(fd)
         return found
 
+    @staticmethod
+    def _read(fd: int) -> bytes:
+        try:
+            return os.read(fd, len(SERVING))
+        except OSError:
+            return b""   # it lives, whatever else
+
     def close(self) -> None:
         """The program is over."""
-        if self._path:
-            with contextlib.suppress(OSError):
-                os.unlink(self._path)
-            self._path = ""
-        if self._fd >= 0:
-            os.close(self._fd)
-            self._fd = -1
+        self._untold, self._over = False, True
+        self._drop(self._path)
+        self._path = ""
--- a/gateway/holdups.py
+++ b/gateway/holdups.py
@@ -12,7 +12,7 @@
 from bridgesaddle.api import MS
 
 from .events import event
-from .timers import LATE, Timers, now_ns
+from .timers import FAR, LATE, Timers, now_ns
 
 log = logging.getLogger("gateway.holdups")
 
@@ -36,9 +36,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers) -> None:
         self._loop = loop
         self._timers = timers
-        now = now_ns()
-        self._ticked = self._seen = now
-        self._due = now + TICK
+        self._ticked = self._seen = now_ns()
+        self._due = FAR          # it does not tick yet
         self._since = 0          # start of the hold-up whose backlog is being read; 0: none
         self._turns = 0
         self._accept_since = 0   # the same for connections that are accepted
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -11,7 +11,8 @@
 import signal
 import socket
 import sys
-from collections.abc import Mapping, Sequence
+import time
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import replace
 from typing import Any
 
@@ -33,6 +34,7 @@
 from .starts import StartTimes
 from .stats import Stats
 from .timers import Timers, now_ns
+from .transient import DISK, OWN, accepted, bound, pauses, persistently, persistently_at_once
 from .upstream import Upstream
 
 log = logging.getLogger("gateway")
@@ -63,7 +65,10 @@
 BESIDE_CLIENTS = 0.65
 """Part of its half that clients may hold while one does: most of what both hold is theirs."""
 TOLD = 3500 * MS
-"""Longest wait for the list before a process takes clients from another: a yes is wanted within 6 s."""
+"""Longest wait for the list before a process takes clients, from another or where lists are pushed, as what discovery
+has counts as told from the first moment: a yes is wanted within 6 s."""
+RELOAD_S = 1.0
+"""A file that can't be read for a reason of the moment is read again for so long."""
 LINES_PER_S = 50
 """Log lines a second: an attacker must not make the gateway spend its time on writing."""
 
@@ -72,6 +77,10 @@
     """A configuration the gateway can't start with."""
 
 
+class Unread(BadConfig):
+    """A configuration that could not be read for a reason that passes."""
+
+
 class Config:
     """What a gateway is told."""
 
@@ -103,7 +112,9 @@
             self.kinds = [str(name) for name in raw.get("flavors", ())]
         except KeyError as error:
             raise BadConfig(f"{error} is missing") from None
-        except (OSError, ValueError, TypeError, AttributeError, RecursionError, WireError) as error:
+        except OSError as error:
+            raise (Unread if error.errno in OWN | DISK else BadConfig)(str(error)) from None
+        except (ValueError, TypeError, AttributeError, RecursionError, WireError) as error:
             raise BadConfig(str(error)) from None
         names = [item.name for item in self.settings.classes]
         if len(set(names)) < len(names):
@@ -199,6 +210,7 @@
 
     async def start(self) -> tuple[str, int]:
         """Begin to watch and, once clients can be served, to listen; returns the address."""
+        self.holdups.start()
         self.handover.register()
         beside = self._look()
         self.discovery.known(self._config.known)   # before anything is waited for: SIGHUP may bring a newer list
@@ -206,19 +218,17 @@
         if self._config.operator is not None:
             self.operator = await self.admin.listen(self._loop, self._config.operator)
             log.info("operators call %s:%d", *self.operator)
-        self.holdups.start()
         self.timers.after(SWEEP, self._sweep, None)
         self.timers.after(BESIDE, self._looked, None)
-        if beside:   # the other one serves meanwhile; a bound socket would draw clients at once
+        # Another one serves meanwhile, where there is one; a bound socket would draw clients at once.
+        if beside or not self._settings.ask_discovery:
             try:
                 await asyncio.wait_for(self._told.wait(), TOLD / SECOND)
             except TimeoutError:
                 log.warning("discovery has not told the list: the known one must do")
         if self._stop_at:   # told to end before it took clients
             return self._config.listen
-        self._socket = _bound(self._config.listen)
-        self._listener = await self._loop.create_server(self.server.connection, sock=self._socket,
-                                                        backlog=1024)
+        self._listener = await persistently(self._listen, lambda: not self._stop_at)
         self.handover.serving()
         if self._config.settings.limits.peers and self._config.peer_listen is not None:
             self.core.peers = Peers(self._config.peers, self._config.peers_all, self.core.on_peer)
@@ -229,6 +239,14 @@
         log.info("listening on %s:%d", *name)
         return name
 
+    async def _listen(self) -> asyncio.Server:
+        self._socket = bound(self._config.listen, shared=True)
+        try:
+            return await self._loop.create_server(self.server.connection, sock=self._socket, backlog=1024)
+        except OSError:
+            self._socket.close()
+            raise
+
     async def run(self, early: Sequence[int] = ()) -> None:
         """Serve until told to stop; `early` is not empty where SIGHUP came before this."""
         self._loop.add_signal_handler(signal.SIGHUP, self.reload)
@@ -282,6 +300,8 @@
 
     def _looked(self, _: None) -> None:
         self.timers.after(BESIDE, self._looked, None)
+        self.handover.register()
+        self.handover.tell_serving()
         self._look()
 
     def _sweep(self, _: None) -> None:
@@ -317,10 +337,18 @@
 
     def reload(self) -> None:
         """SIGHUP: settings may have changed, discovery moved; a file that is not right changes nothing."""
+        self._reload(pauses(RELOAD_S))
+
+    def _reload(self, again: Iterator[float]) -> None:
         try:   # the file alone: what the environment says of discovery is from the start
             told = Config({"EDGE_CONFIG": self._config.path})
             told.follow(self._config)
         except BadConfig as error:
+            pause = next(again, None) if isinstance(error, Unread) else None
+            if pause is not None:
+                log.info("SIGHUP: the file is read again: %s", error)
+                self.timers.after(int(pause * SECOND), self._reload, again)
+                return
             self.stats.config_reload_errors += 1
             log.warning("SIGHUP: the configuration stays as it was: %s", " ".join(str(error).split()))
             return
@@ -356,11 +384,7 @@
         """Close the listener, but take what waits at it: the close would reset it unheard."""
         waiting = []
         if self._listener is not None and self._socket is not None:
-            try:
-                while True:
-                    waiting.append(self._socket.accept()[0])
-            except OSError:
-                pass   # none is left
+            waiting = accepted(self._socket)
             self._listener.close()
         for sock in waiting:
             sock.setblocking(False)
@@ -387,19 +411,14 @@
             self.timers.after(20 * MS, self._leave, None)
 
 
-def _bound(address: tuple[str, int]) -> socket.socket:
-    """A socket for clients: another process of this gateway may listen there too."""
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        sock.setblocking(False)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        sock.bind(address)
-    except OSError:
-        sock.close()
-        raise
-    return sock
+def _first_config() -> Config:
+    """The configuration at the start; raises BadConfig."""
+    for pause in pauses(RELOAD_S):
+        try:
+            return Config(os.environ)
+        except Unread:
+            time.sleep(pause)
+    return Config(os.environ)
 
 
 async def _main(config: Config, handover: Handover | None, early: list[int]) -> None:
@@ -418,14 +437,14 @@
     handler.addFilter(_Sparing())
     logging.basicConfig(level=logging.INFO, handlers=[handler], format="%(asctime)s %(name)s %(message)s")
     try:
-        config = Config(os.environ)
+        config = _first_config()
     except BadConfig as error:
         print(f"gateway: EDGE_CONFIG: {' '.join(str(error).split())}", file=sys.stderr)
         return 2
     gc.freeze()   # what is loaded by now lives as long as the process: the collector need not look again
     gc.set_threshold(50_000, 20, 50)
     try:
-        uvloop.run(_main(config, handover, early))
+        uvloop.run(_main(config, handover, early), loop_factory=lambda: persistently_at_once(uvloop.new_event_loop))
     except BadConfig as error:
         print(f"gateway: {error}", file=sys.stderr)
         return 1
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -21,6 +21,7 @@
 from .lines import Listed
 from .stats import Stats
 from .timers import FAR, Timers, now_ns
+from .transient import OWN
 
 log = logging.getLogger("gateway.upstream")
 
@@ -42,6 +43,8 @@
 
 A broken host may answer twice, the second time some milliseconds late: that would be taken for the next answer.
 """
+OWN_TROUBLE_S = 0.01
+"""A connection that fails for a reason on this machine is tried again after so long."""
 KEPT_PER_HOST = 16
 """Idle connections kept to one host."""
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -160,6 +163,7 @@
         self.task: asyncio.Task[None] | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_at = 0
+        self.own_trouble = False   # it does not come up for a reason on this machine: nothing against the host
         self._parser: Any = httptools.HttpResponseParser(self)
         self._written = False
         self._fd = -1
@@ -614,15 +618,22 @@
             self._place(attempt)
 
     async def _connect(self, conn: Connection) -> None:
-        try:
-            await self._loop.create_connection(lambda: conn, *conn.host.address)
-        except OSError:
-            conn.task = None
-            conn.give_up(Outcome.CONNECT_FAILED)
+        while True:
+            try:
+                await self._loop.create_connection(lambda: conn, *conn.host.address)
+                return
+            except OSError as error:
+                conn.own_trouble = error.errno in OWN
+                if not conn.own_trouble:
+                    break
+                event(log, "connect_failed", host=conn.host.address[1], errno=error.errno, why="this machine's trouble")
+            await asyncio.sleep(OWN_TROUBLE_S)   # `_connect_overdue` ends it
+        conn.task = None
+        conn.give_up(Outcome.CONNECT_FAILED)
 
     def _connect_overdue(self, conn: Connection) -> None:
         if conn.transport is None:
-            conn.give_up(Outcome.CONNECT_FAILED)
+            conn.give_up(Outcome.MOOT if conn.own_trouble else Outcome.CONNECT_FAILED)
 
     def cancel(self, attempt: Attempt) -> None:
         """Stop an attempt: its connection closes, and nothing of it is sent any more."""
