--- a/gateway/server.py
+++ b/gateway/server.py
@@ -1,4 +1,4 @@
-"""The client side: parsing, checks, and exactly one answer a request."""
+"""The client side: connections of clients, parsed into requests.  Checks: checks.py; answers: exchange.py."""
 
 from __future__ import annotations
 
@@ -8,19 +8,20 @@
 import struct
 from collections import deque
 from typing import Any, cast
-from zlib import crc32
 
 import httptools
 
-from bridgesaddle.api import MS, SECOND, Effect, Settings
+from bridgesaddle.api import MS, SECOND, Settings
 
 from .body import PIECE, Body, Room
-from .core import Core, Request
+from .checks import BadRequest, Checks
+from .core import Core
 from .events import event
+from .exchange import Exchange
 from .kernel import BROKEN, LEFT, waiting
 from .stats import Stats
 from .timers import Timers, now_ns
-from .upstream import HOP_BY_HOP, LOAD, MAX_BODY, MAX_LONG, STALL, Answer, Attempt, Header
+from .upstream import MAX_BODY, MAX_LONG, STALL, Header
 
 log = logging.getLogger("gateway.server")
 
@@ -49,241 +50,8 @@
 """A connection on which nothing has come for less makes no room for another."""
 LINGER = 1 * SECOND
 """How long what still arrives is thrown away after an error, so that the client can read it."""
-MAX_ID = 200
 READY = b"/health/ready"
 
-_REASONS = {200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout",
-            413: b"Content Too Large", 431: b"Request Header Fields Too Large", 502: b"Bad Gateway",
-            503: b"Service Unavailable"}
-
-
-class BadRequest(Exception):
-    """A request that is answered with an error; `status` says which."""
-
-    def __init__(self, status: int, why: str) -> None:
-        super().__init__(why)
-        self.status = status
-        self.why = why
-
-
-class Checked:
-    """A request that has passed the checks: the `Asked` of core.py."""
-
-    __slots__ = ("body", "cls", "hint_ns", "id", "key", "name", "payload", "repeat", "tenant", "ttl_ns",
-                 "waiting_since", "write")
-
-    def __init__(self, cls: int, tenant: int, ttl_ns: int, payload: tuple[bytes, bytes],
-                 headers: dict[bytes, bytes], body: Body | None) -> None:
-        self.body = body   # a long one, which is still coming
-        self.waiting_since = 0
-        self.cls = cls
-        self.tenant = tenant
-        self.ttl_ns = ttl_ns
-        self.payload = payload
-        self.id = headers[b"x-request-id"]
-        self.name = headers[b"x-priority-class"]
-        self.key = _key(headers.get(b"x-route-key", b""))
-        self.hint_ns = _number(headers.get(b"x-cost", b"")) * 1000
-        self.repeat = headers.get(b"x-retried") == b"1"
-        self.write = b"write=1" in headers.get(b"x-attrs", b"").split(b",")
-
-
-def _key(text: bytes) -> int:
-    """What the request is about, as a number; 0 for none."""
-    if not text:
-        return 0
-    try:
-        return int(text, 16) & 0xFFFFFFFFFFFFFFFF
-    except ValueError:
-        return crc32(text) or 1
-
-
-def _number(text: bytes) -> int:
-    """A whole number of at most nine figures; 0 for anything else."""
-    return int(text) if text.isdigit() and len(text) <= 9 else 0
-
-
-class Checks:
-    """What a request must be, after the settings."""
-
-    def __init__(self, settings: Settings) -> None:
-        self._classes = {item.name.encode(): index for index, item in enumerate(settings.classes)}
-        self._effects = [item.effect for item in settings.classes]
-        self._longest = [item.deadline_ns for item in settings.classes]
-        self._tenants = {item.name.encode(): index for index, item in enumerate(settings.tenants)}
-
-    def check(self, method: bytes, target: bytes, headers: list[Header], body: bytes,
-              coming: Body | None = None) -> Checked:
-        """Raises BadRequest for what is missing, unknown or contradictory."""
-        first = target.split(b"?", 1)[0].split(b"/", 2)
-        if len(first) < 2 or first[0] or first[1] not in self._classes:
-            raise BadRequest(404, "no such path")
-        known: dict[bytes, bytes] = {}
-        for name, value in headers:
-            lower = name.lower()
-            if lower in _CHECKED and known.setdefault(lower, value) != value:
-                raise BadRequest(400, f"two values of {lower.decode()}")
-        if known.get(b"x-priority-class") != first[1]:
-            raise BadRequest(400, "the class is missing or is not that of the path")
-        cls = self._classes[first[1]]
-        self._check_method(method, self._effects[cls], known, body)
-        rid = known.get(b"x-request-id", b"")
-        if not 0 < len(rid) <= MAX_ID or not rid.isascii():
-            raise BadRequest(400, "no usable id")
-        tenant = self._tenants.get(known.get(b"x-tenant-id", b""), -1 if self._tenants else 0)
-        if tenant < 0:
-            raise BadRequest(400, "the tenant is missing or unknown")
-        millis = _number(known.get(b"x-timeout-ms", b""))
-        if not millis:
-            raise BadRequest(400, "no usable time-out")
-        return Checked(cls, tenant, min(millis * MS, self._longest[cls]),
-                       _payload(method, target, headers, body, coming), known, coming)
-
-    @staticmethod
-    def _check_method(method: bytes, effect: Effect, known: dict[bytes, bytes], body: bytes) -> None:
-        key = known.get(b"idempotency-key")
-        right = (method == b"GET" and not body and key is None if effect is Effect.SAFE
-                 else method == b"POST" and (bool(key) if effect is Effect.KEYED else key is None))
-        if not right:
-            raise BadRequest(400, "the method, body or key is not that of the class")
-
-
-_CHECKED = frozenset((b"x-request-id", b"x-priority-class", b"x-tenant-id", b"x-timeout-ms",
-                      b"idempotency-key", b"x-route-key", b"x-retried", b"x-cost", b"x-attrs", b"host"))
-
-
-def _payload(method: bytes, target: bytes, headers: list[Header], body: bytes,
-             coming: Body | None) -> tuple[bytes, bytes]:
-    """The message to hosts, but for its time-out: end-to-end headers go on as they came."""
-    dropped = set(HOP_BY_HOP)
-    for name, value in headers:
-        if name.lower() == b"connection":
-            dropped.update(token.strip().lower() for token in value.split(b","))
-    dropped -= _CHECKED
-    dropped.add(b"x-timeout-ms")
-    lines = [b"%b %b HTTP/1.1\r\n" % (method, target)]
-    lines += [b"%b: %b\r\n" % item for item in headers if item[0].lower() not in dropped]
-    if not any(name.lower() == b"host" for name, _ in headers):
-        lines.append(b"Host: gateway\r\n")
-    if coming is not None:   # the body follows by itself
-        lines.append(b"Transfer-Encoding: chunked\r\n" if coming.length is None
-                     else b"Content-Length: %d\r\n" % coming.length)
-        return b"".join(lines), b""
-    if method != b"GET":
-        lines.append(b"Content-Length: %d\r\n" % len(body))
-    return b"".join(lines), body
-
-
-class Exchange:
-    """A request's place in the order of answers on its connection: the `Exchange` of core.py."""
-
-    __slots__ = ("begun", "chunked", "close", "cls", "conn", "done", "id", "old", "parts", "request",
-                 "source")
-
-    def __init__(self, conn: ClientConnection, close: bool, old: bool = False) -> None:
-        self.conn = conn
-        self.close = close
-        self.old = old           # HTTP/1.0: knows no chunks
-        self.begun = False       # an answer is worded, at least its head
-        self.done = False        # and whole
-        self.parts: list[bytes] = []   # what has not left: answers before it come first
-        self.chunked = False
-        self.source: Attempt | None = None   # where a long answer comes from
-        self.request: Request | None = None
-        self.id = b""
-        self.cls = ""   # named once the request has passed the checks: only then does it count
-
-    def respond(self, status: int, headers: list[Header], body: bytes) -> None:
-        """Word the answer; it leaves as soon as those before it have left."""
-        if self.begun:   # guards against a second answer, whatever goes wrong elsewhere
-            log.error("a second answer to one request")
-            return
-        self._head(status, headers, b"Content-Length: %d\r\n" % len(body))
-        self.parts.append(body)
-        self._end()
-
-    def _head(self, status: int, headers: list[Header], framing: bytes) -> None:
-        self.begun = True
-        self.close = self.close or (self.conn.server.draining and self.conn.last(self))
-        self.conn.answering(self)
-        lines = [b"HTTP/1.1 %d %b\r\n" % (status, _REASONS[status]), framing]
-        lines += [b"%b: %b\r\n" % item for item in headers]
-        if self.close:
-            lines.append(b"Connection: close\r\n")
-        lines.append(b"\r\n")
-        self.parts.append(b"".join(lines))
-
-    def _end(self) -> None:
-        self.done = True
-        self.source = None
-        self.conn.server.forget(self.id)
-        self.conn.flush()
-
-    def begin(self, attempt: Attempt, answer: Answer, length: int | None) -> None:
-        """A host's long answer begins: what is passed on can't be taken back."""
-        self.source = attempt
-        framing = b""
-        if length is not None:
-            framing = b"Content-Length: %d\r\n" % length
-        elif self.old:
-            self.close = True   # its end is told by the close
-        else:
-            self.chunked = True
-            framing = b"Transfer-Encoding: chunked\r\n"
-        self._head(200, _end_to_end(answer), framing)
-        self.conn.flush()
-
-    def more(self, data: bytes) -> None:
-        """Some more of it."""
-        if data:
-            self.parts.append(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
-            self.conn.flush()
-
-    def finish(self) -> None:
-        """It has come whole."""
-        if self.chunked:
-            self.parts.append(b"0\r\n\r\n")
-        self._end()
-        self._count("completed")
-
-    def broken(self) -> None:
-        """It will not come whole: the connection ends before the answer does."""
-        self._end_nothing()
-        self._count("failed")
-
-    def _end_nothing(self) -> None:
-        self.source = None
-        self.conn.server.forget(self.id)
-        self.conn.cut()
-
-    def served(self, answer: Answer) -> None:
-        """Pass on a host's answer, its body unchanged."""
-        self.respond(200, _end_to_end(answer), answer.body)
-        self._count("completed")
-
-    def failed(self) -> None:
-        """No promise about the effect."""
-        self.respond(502, [], b"failed\n")
-        self._count("failed")
-
-    def refused(self, retry_after_ns: int) -> None:
-        """Trying again is harmless; when, is the module's to say."""
-        headers = [(b"Retry-After", b"%.3f" % (retry_after_ns / SECOND))] if retry_after_ns > 0 else []
-        self.respond(503, headers, b"refused\n")
-        self._count("rejected")
-
-    def left(self) -> bool:
-        """Whether the client has ended its sending, asked of the kernel."""
-        return self.conn.has_left()
-
-    def _count(self, how: str) -> None:
-        if self.cls:
-            self.conn.server.stats.ended(self.cls, how)
-
-
-def _end_to_end(answer: Answer) -> list[Header]:
-    return [item for item in answer.headers if item[0].lower() not in HOP_BY_HOP and item[0].lower() != LOAD]
-
 
 class ClientConnection(asyncio.BufferedProtocol):
     """One connection of a client."""
--- a/tests/soak/books.py
+++ b/tests/soak/books.py
@@ -172,7 +172,7 @@
             times.append(max(reach, silent[0].begin + TOLD))
         elif self.terms.pushed:
             times.append(reach)
-        times += [max(reach, reload + TOLD_RELOAD) for reload in life.reloads]
+        times += [max(reach, reload + TOLD_RELOAD) for reload in life.reloads if reach <= reload + TOLD_RELOAD]
         return min(times)
 
     def _drains(self) -> Iterable[str]:
--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import socket
+from contextlib import suppress
 from typing import Any
 
 from .books import Books, Change, Spell
@@ -87,7 +88,11 @@
         reader, writer = await asyncio.open_connection(sock=sock)
         try:
             head = await reader.readuntil(b"\r\n\r\n")
-            await self._answer(head, writer)
+            ended = self._loop.create_task(self._end_with(reader, asyncio.current_task()))
+            try:
+                await self._answer(head, writer)
+            finally:
+                ended.cancel()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
@@ -95,6 +100,14 @@
             self.silent.discard(writer)
             writer.close()
 
+    @staticmethod
+    async def _end_with(reader: asyncio.StreamReader, call: asyncio.Task[None] | None) -> None:
+        """What is written to a connection that the gateway has closed tells nothing."""
+        with suppress(OSError):
+            await reader.read()
+        if call is not None:
+            call.cancel()
+
     async def _answer(self, head: bytes, writer: asyncio.StreamWriter) -> None:
         self._calls += 1
         self._service.calls += 1
@@ -204,7 +217,10 @@
         return json.dumps({"generation": self.generation, "reset": whole, "instances": rows}).encode()
 
     def told(self, gateway: str, generation: int) -> None:
-        """A list has left for a gateway."""
+        """A list has left for a gateway: its watch speaks again, if it was silent."""
+        for spell in self._books.spells:
+            if spell.gateway == gateway and spell.kind == "silent":
+                spell.end = min(spell.end, self._clock())
         for life in reversed(self._books.lives):
             if life.gateway == gateway:
                 life.written.append((self._clock(), generation))
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -245,7 +245,7 @@
 
     async def _silent(self, name: str, fault: Fault) -> None:
         self._at(name).fall_silent()
-        await self._spell(name, "silent", 60.0 if fault.lasts else 0.0)
+        self.discovery.spell(name, "silent")   # until a list leaves for it
 
     async def _ends(self, name: str, fault: Fault) -> None:
         await self._switch(name, "ends", fault.lasts)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,139 @@
+"""The fault kit itself: a short seeded soak, a judge that finds each rule broken, and gateways without a safeguard."""
+
+from __future__ import annotations
+
+import json
+import shutil
+from math import inf
+from pathlib import Path
+
+import pytest
+import uvloop
+
+from tests.soak.books import Ask, Begin, Books, Change, Cold, Life, Spell, Terms
+from tests.soak.plan import Fault, Plan, draw
+from tests.soak.play import build_shim, play
+from tests.soak.processes import ROOT
+
+SEEDS = (101, 102, 103, 104)
+LASTS_S = 10.0
+
+
+@pytest.fixture(scope="session")
+def shim(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    """The shim, built once."""
+    return build_shim(tmp_path_factory.mktemp("shim"))
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_rule_is_broken_under_faults(shim: Path, seed: int) -> None:
+    plan = draw(seed, LASTS_S)
+    broken = uvloop.run(play(plan, shim)).broken
+    assert broken == {}, json.dumps(plan.record())
+
+
+def test_a_plan_is_the_same_each_time_it_is_drawn_or_read() -> None:
+    for seed in range(50):
+        plan = draw(seed)
+        assert plan == draw(seed) == Plan.read(json.loads(json.dumps(plan.record())))
+
+
+def books(pushed: bool = False) -> Books:
+    """One gateway that lives from 0 on, a host that drains at 5, told at once."""
+    kept = Books(Terms(pushed, grace=0.3, window=3.0))
+    kept.lives.append(Life("n0", 0.0, written=[(0.0, 1), (5.0, 2)]))
+    kept.changes.append(Change(5.0, 2, "h0", False))
+    return kept
+
+
+def ask(kept: Books, rid: str = "r", at: float = 1.0, cls: str = "read", **more: float) -> Ask:
+    asked = Ask(at, "n0", rid, cls, 1.0, answered=at + 0.1, status=200, by=rid)
+    for name, value in more.items():
+        setattr(asked, name, value)
+    kept.asks.append(asked)
+    return asked
+
+
+def begin(kept: Books, rid: str = "r", at: float = 1.05, host: str = "h1", told_ms: int = 900) -> None:
+    kept.begins.append(Begin(at, "n0", host, rid, told_ms, at))
+
+
+def test_the_judge_finds_nothing_where_all_is_well() -> None:
+    kept = books()
+    ask(kept)
+    begin(kept)
+    begin(kept, at=5.3, host="h0", told_ms=0)   # within the grace
+    ask(kept, "r", 5.2)
+    assert kept.verdict() == {}
+
+
+@pytest.mark.parametrize("rule", ["drain", "lost", "gone", "deadline", "duplicate", "refusal", "failback", "crash"])
+def test_the_judge_finds_each_rule_broken(rule: str) -> None:
+    kept = books()
+    if rule == "drain":
+        ask(kept, at=5.3)
+        begin(kept, at=5.36, host="h0")
+    elif rule == "lost":
+        ask(kept, answered=inf, status=0)
+    elif rule == "gone":
+        ask(kept, left=1.2, answered=inf, status=0)
+        begin(kept, at=1.35, told_ms=0)
+    elif rule == "deadline":
+        ask(kept)
+        begin(kept, at=1.5, told_ms=700)
+    elif rule == "duplicate":
+        ask(kept, cls="once")
+        begin(kept)
+        begin(kept, at=1.08)
+    elif rule == "refusal":
+        ask(kept, cls="once", status=503)
+        begin(kept)
+    elif rule == "failback":
+        kept.colds.append(Cold("h1", 1.0, 250.0))
+        for number in range(250):
+            ask(kept, f"r{number}", 1.0 + number / 250)
+            begin(kept, f"r{number}", 1.0 + number / 250)
+    else:
+        kept.lives[0].died = "ended by itself"
+    assert list(kept.verdict()) == [rule]
+
+
+def test_when_a_change_counts_as_told() -> None:
+    change = Change(5.0, 2, "h0", False)
+    for pushed, spells, reloads, told in (
+            (False, [], [], 11.0), (True, [], [], 5.0), (False, [], [4.0], 8.0), (False, [], [0.5], 11.0),
+            (False, [Spell("n0", "away", 4.0, 7.0)], [], 13.0), (True, [Spell("n0", "away", 4.0, 7.0)], [], 7.0),
+            (False, [Spell("n0", "silent", 3.0)], [], 9.0), (True, [Spell("n0", "silent", 3.0)], [], 9.0)):
+        kept = books(pushed)
+        life = kept.lives[0]
+        life.written, life.reloads, kept.spells = [(0.0, 1)], reloads, spells
+        assert kept.told(life, change) == told, (pushed, spells, reloads)
+
+
+SAFEGUARDS = {
+    "reads ahead": ("gateway/clocks.py", "READ_EVERY = 5 * MS", "READ_EVERY = 3600 * SECOND", "drain"),
+    "takes waiting off": ("gateway/holdups.py", "            return now - self._since\n", "            return 0\n",
+                          "deadline"),
+    "tries again": ("gateway/clocks.py", "        return max(TRY_AGAIN_LEAST, min(TRY_AGAIN, grace_ns // 4))",
+                    "        return 60 * SECOND", "drain"),
+}
+
+
+@pytest.mark.parametrize("safeguard", SAFEGUARDS)
+def test_a_gateway_without_a_safeguard_is_found(shim: Path, tmp_path: Path, safeguard: str) -> None:
+    name, kept, broken, rule = SAFEGUARDS[safeguard]
+    for folder in ("gateway", "bridgesaddle"):
+        shutil.copytree(ROOT / folder, tmp_path / folder)
+    text = (tmp_path / name).read_text()
+    assert text.count(kept) == 1
+    (tmp_path / name).write_text(text.replace(kept, broken))
+    faults = []
+    for number in range(3):
+        at = 1.5 + 3.0 * number
+        if safeguard == "tries again":
+            faults += [Fault(at, "drop", "n0", 1.35), Fault(at + 0.01, "reset", "n0")]
+        else:
+            faults += [Fault(at, "stop", "n0", 1.4)]
+        faults += [Fault(at + 0.3, "drain", f"h{number}"), Fault(at + 2.7, "ready", f"h{number}")]
+    plan = Plan(1, 1, 4, 40, 0.03, True, 0.3, 1.0, 0.0, 11.0, faults=faults)
+    assert rule in uvloop.run(play(plan, shim, tmp_path)).broken
