--- a/gateway/holdups.py
+++ b/gateway/holdups.py
@@ -21,7 +21,9 @@
 OVERDUE = 5 * MS
 """A tick that is late by less is not."""
 SETTLE_TURNS = 4
-"""Turns of the loop in which what came during a hold-up on open connections is read."""
+"""Turns of the loop in which what came during a hold-up on open connections is read,"""
+SETTLE = 30 * MS
+"""and the least time for them: a turn may end without having read anything."""
 ACCEPT = 100 * MS
 """For so long after them connections may be accepted that came during it: the loop takes one in a turn."""
 QUIET = 30 * MS
@@ -94,11 +96,14 @@
         if not self._since:
             self._since = self._ticked
             self._turns = SETTLE_TURNS
-            self._loop.call_soon(self._turn)
+            self._timers.at(now + SETTLE, self._settled, None)
         self._due = now + TICK   # counted once
         for tell in self.on_held:
             tell(gap)
 
+    def _settled(self, _: None) -> None:
+        self._loop.call_soon(self._turn)
+
     def _turn(self) -> None:
         self._turns -= 1
         if self._turns:
