--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -333,7 +333,7 @@
         gateway.signal(signal.SIGKILL)
         await gateway.ended()
         front.takes = False
-        await asyncio.sleep(fault.lasts * self._rng.random())
+        await asyncio.sleep(fault.size or fault.lasts * self._rng.random())
         await self._launch(name)
 
     async def _clock(self, name: str, fault: Fault) -> None:
