Lease: calls that come up never show a service that is down, however many do so in vain

What callers saw: requests to a draining host from the third wait in vain on, or after 30 s of 503, for as long as that went on. Cause: gateway/reachability.py took three equal waits (WAITED_IN_VAIN) and 30 s of calls turned away at once (TURNED_AWAY) for a service that is down, and ListLease.on_down lengthened the lease by them and forgot SIGHUP's end. Each caller of one full queue waits the same 3 s. Why it works: only what a service that is there can't do lengthens the lease: nothing listens, no connection comes up, or it is reset before anything was answered. Where there are several services, as many calls in a row as services have to miss: two refused ones of three showed nothing of the third.

--- a/bridgesaddle/lease.py
+++ b/bridgesaddle/lease.py
@@ -5,7 +5,8 @@
 can't know of may count as told; the drain grace is kept for hold-ups between a look at the clock and a write.
 
 Only what shows that discovery could not be reached lengthens a lease: nothing that it has counts meanwhile.  A call
-that waits, or is turned away after it has waited, shows a service that is there.
+that comes up and waits, is turned away or is cut short shows a service that is there, however many do so and for how
+long.
 """
 
 from __future__ import annotations
@@ -103,14 +104,6 @@
         self._gone_at = at_ns
         self._lengthen(at_ns, 0 if self._pushed else TOLD)
 
-    def on_down(self, at_ns: int) -> None:
-        """Calls have waited at discovery for long and one after another in vain, the last of them from this time on.
-
-        It may have come back since: the next one hears of that.
-        """
-        self._broken = True
-        self._lengthen(at_ns, TOLD)
-
     def _lengthen(self, at_ns: int, by_ns: int) -> None:
         """What could not be read bars it, but not for good: a gateway has to outlive discovery."""
         if not self._unread_at or at_ns - self._unread_at >= TOLD:
--- a/gateway/clocks.py
+++ b/gateway/clocks.py
@@ -70,21 +70,6 @@
 """A call that fails within this time has not waited its turn."""
 CROWDED_REST = 20 * MS
 """The rest after a call that was turned away after a wait: its turn is lost, and the lease runs on."""
-CONFIRMED = 2
-"""So many calls in a row that could not reach discovery show that it is down: one may have met a passing fault."""
-TURNED_AWAY = 30 * SECOND
-"""A service that has turned calls away at once for so long without a break is down.
-
-A queue that is full does the same to most callers while it serves the others in turn, and the changes of that time
-count: hundreds of them are through sooner.
-"""
-WAITED_IN_VAIN = 3
-"""So many calls in a row, over TOLD at least, that have waited equally long and were not answered show that it is down.
-
-A queue moves on meanwhile, and the next turn would come sooner or the next wait be another one.  Two may be chance.
-"""
-EQUAL = 0.1
-"""Waits that differ by no more than this part are equal."""
 QUICK_RESTS = 3
 """So many answers in a row that can't be used are followed by a short rest: they may have been spoilt on the way."""
 
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -457,15 +457,10 @@
         elif call.transport is None:
             if call.tries:   # those that have failed have told
                 self._missed(call.tried_at)
-        elif call.heard:
+        elif call.cut_off and not call.status and not call.heard and now - call.connected_at < AT_ONCE:
+            self._missed(now)   # reset before it was answered
+        else:
             self._reach.reached()
-        elif (wait := now - call.connected_at) >= AT_ONCE:
-            if self._reach.waited(wait, now):
-                self.lease.on_down(now - min(wait, TURN))   # no queue keeps a call for longer than a turn
-        elif call.cut_off and not call.status:
-            self._missed(now)
-        elif call.status and self._reach.turned_away(now):
-            self.lease.on_unreachable(now)
         self._lease_renewed()
 
     def _over(self, call: Call, why: str, failed: bool) -> None:
--- a/gateway/failover.py
+++ b/gateway/failover.py
@@ -123,6 +123,7 @@
         self._all = list(addresses)
         random.shuffle(self._all)      # gateways spread over the services
         super().__init__(loop, timers, self._all[0], lines, pushed, tell, grace_ns)
+        self._reach.services = len(self._all)
         self._failed = 0               # services that failed since one told a list
         self._rows: dict[str, Any] = {}
         self._kept = kept
@@ -222,6 +223,7 @@
         every = [address, *others]
         same = set(every) == set(self._all)
         self._all = every
+        self._reach.services = len(every)
         if not same or lines.names != self._lines.names:
             self._rows = {}
             self._failed = 0
