Lease: an empty line confirms what was there 3 s before it, as a change may wait behind it

What callers saw: requests to a draining host, 8 s and more after it began to drain, after a watch had gone on with empty lines and was then reset. Cause: bridgesaddle/lease.py on_word renewed the lease to 6 s after each empty line, and a change of a watch likewise; but the line of a change may wait for its turn for up to 3 s (LINE_WAITS) while empty lines go on. Why it works: a line of a watch proves what was there LINE_WAITS before it; the answer to a call is made when it is written and proves what was there then. Where lists are pushed lines do not wait.

--- a/bridgesaddle/lease.py
+++ b/bridgesaddle/lease.py
@@ -58,8 +58,13 @@
         """Whether what discovery has counts by now because of SIGHUP, and no list was told since."""
         return bool(self._reloads_count_at) and self._reloads_count_at[0] <= now_ns
 
+    def on_line(self, at_ns: int) -> None:
+        """A change has been taken from a watch that had told its list before: another one may wait behind it."""
+        self._unread_at = 0
+        self.on_word(at_ns)
+
     def on_list(self, at_ns: int, asked_ns: int = 0) -> None:
-        """A list has been taken that discovery wrote at this time or later; `asked_ns`: when its call came up."""
+        """A call was answered with all that discovery had at this time; `asked_ns`: when the call came up."""
         self._unread_at = 0
         self._told_by = at_ns + TOLD
         if self._broken:
@@ -72,10 +77,10 @@
     def on_word(self, at_ns: int) -> None:
         """A watch whose list has been taken has spoken: it was not silent at this time.
 
-        It says nothing of a change whose line waits for its turn.
+        It has told what was there `LINE_WAITS` before: a change's line may wait for its turn meanwhile.
         """
         if not self._unread_at:
-            self._told_by = max(self._told_by, at_ns + TOLD)
+            self._told_by = max(self._told_by, at_ns + TOLD - (0 if self._pushed else LINE_WAITS))
 
     def _known(self, at_ns: int) -> None:
         """What SIGHUP has count by this time is known, or could not be."""
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -380,10 +380,13 @@
         self._out_of_order = False
         self._spoilt = 0
         self._list_at = now_ns()
-        call.told = call.told or self._list_at
         self._reach.reached()
         lay_unread = self.unread_for(self._list_at)
-        self.lease.on_list(self._list_at - lay_unread, call.connected_at)
+        if call.told:
+            self.lease.on_line(self._list_at - lay_unread)
+        else:
+            self.lease.on_list(self._list_at - lay_unread, call.connected_at)
+        call.told = call.told or self._list_at
         if not lay_unread:   # else the end of its watch may lie behind it
             self._unsure_until = 0
         self._choose(call)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -24,8 +24,12 @@
 def test_a_word_of_a_watch_renews_it_and_silence_ends_it(pushed: bool) -> None:
     lease = a_lease(pushed)
     assert lease.until_ns == NOW + TOLD + SPARE
-    lease.on_word(NOW + 2 * SECOND)
-    assert lease.until_ns == NOW + 2 * SECOND + TOLD + SPARE
+    behind = 0 if pushed else LINE_WAITS   # a change's line may wait for so long
+    for said in (lease.on_word, lease.on_line):
+        said(NOW + 2 * SECOND)
+        assert lease.until_ns == NOW + TOLD + SPARE + max(0, 2 * SECOND - behind)
+    lease.on_word(NOW + 4 * SECOND)
+    assert lease.until_ns == NOW + 4 * SECOND - behind + TOLD + SPARE
 
 
 def test_a_started_process_has_what_the_rules_give_it_from_its_start() -> None:
@@ -99,7 +103,7 @@
         lost(lease, NOW + 10 * SECOND)
         lease.on_list(NOW + 12 * SECOND, NOW + 11 * SECOND)
         lease.on_word(NOW + 14 * SECOND)
-        assert lease.until_ns == NOW + 14 * SECOND + TOLD + SPARE
+        assert lease.until_ns == NOW + 12 * SECOND + TOLD + SPARE
         lease.on_watch_ended(NOW + 15 * SECOND)
         back = 10 if lost is ListLease.on_unreachable else 11   # seen to be gone, or back by the time of the call
         assert lease.until_ns == NOW + back * SECOND + TOLD + SPARE
