Lease: two typed proofs alone lengthen it; a start proves nothing of the list it began with

What callers saw: a gateway that was killed and started again sent to a host that had drained while it was gone, 6 s after its start and later; where lists are pushed, 0.8 s and more past the grace, as discovery had gone down between the start and the first call. Cause: bridgesaddle/lease.py took a start for a renewal by 5 s, and on_unreachable any miss for proof that nothing had counted before. What SIGHUP or a cut had count could be put off by events that prove nothing of it, each by a way of its own (on_word, on_list, on_unreachable, _lengthen). Change: ListLease.extend takes one of two proofs, Told(at) and Unreachable(at); no other event has a way to lengthen, and each extension is logged with its proof. What ends a lease earlier is a Cutoff, dated from the loss of the watch, the return, or the call of the watch, not from the call that came after it; it holds once no watch is open. A list that could not be read bars the lease until a list comes, also while discovery is down: what was written counts. The kernel tells when the process started (proc(5)); where lists are pushed and discovery is gone by the first call, the list of the start is followed only if that call came within the grace of the start. SIGHUP's end: the call that asks for a word of then is no longer closed by an empty line, and is made again where it was turned away.

--- a/bridgesaddle/lease.py
+++ b/bridgesaddle/lease.py
@@ -1,16 +1,20 @@
 """How long the list of hosts may be followed without a further word of discovery.
 
-The list is a lease.  Any word of a living watch renews it; at its end requests may not go to hosts by that list any
-more, as a host may drain that the gateway has not heard of.  The lease ends when the first change that the gateway
-can't know of may count as told; the drain grace is kept for hold-ups between a look at the clock and a write.
+The list is a lease: at its end requests may not go to hosts by that list any more, as a host may drain that the gateway
+has not heard of.  Two proofs alone lengthen it:
 
-Only what shows that discovery could not be reached lengthens a lease: nothing that it has counts meanwhile.  A call
-that comes up and waits, is turned away or is cut short shows a service that is there, however many do so and for how
-long.
+* `Told`: discovery has told all that it had at a time.  What it learns later counts `TOLD` after that time.
+* `Unreachable`: discovery could not be reached at a time.  What it has counts `TOLD` after it can be reached again, or
+  at once where lists are pushed.
+
+All else that happens can only shorten it: a start, a watch that ends, a call that comes up and is not answered, SIGHUP,
+a text that can't be used.  The drain grace is kept for hold-ups between a look at the clock and a write.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from .api import MS, SECOND
 
 TOLD = 6 * SECOND
@@ -18,31 +22,68 @@
 a silent watch misses, so long after it fell silent."""
 TOLD_RELOAD = 4 * SECOND
 """And so long after SIGHUP, whatever a watch has said before then."""
-MOST_RELOADS = 64
-"""Signals that are waited for at once: more come to nothing, as all but the first few end at the same list."""
-STARTING = SECOND
-"""A process counts from its start, which may be so much earlier than the first moment that it can note."""
 LINE_WAITS = 3 * SECOND
 """A change's line waits for its turn at a crowded service for so long at most; then its watch ends."""
 HELD_UP = 150 * MS
 """The longest hold-up between a look at the clock and a write that the grace has to cover."""
+MOST_RELOADS = 64
+"""Signals that are waited for at once: more come to nothing, as all but the first few end at the same list."""
+MOST_CUTOFFS = 64
+"""Cutoffs that are kept apart; any more become one with the last of them."""
+NEVER = -(1 << 62)
+"""Before any time of the monotonic clock, ns."""
+UNKNOWN = 1 << 62
+"""After any time of the monotonic clock, ns."""
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """Discovery has told all that it had at this time, ns."""
+
+    at_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """Discovery could not be reached at this time, ns: nothing listened, or no connection came up."""
+
+    at_ns: int
+
+
+Proof = Told | Unreachable
+
+
+@dataclass(slots=True)
+class Cutoff:
+    """From `counts_ns` on all that discovery has counts for a gateway that has no watch open.
+
+    It is put off by what discovery has told of `settled_ns` or later: the latest time at which the cutoff may lie,
+    where that is not known exactly.
+    """
+
+    counts_ns: int
+    settled_ns: int
 
 
 class ListLease:
     """The lease of one gateway's list.  Times are monotonic, ns."""
 
-    __slots__ = ("_all_counts_at", "_broken", "_gone_at", "_grace_ns", "_pushed", "_reloads_count_at", "_told_by",
-                 "_unread_at")
+    __slots__ = ("_cutoffs", "_grace_ns", "_lost_ns", "_open", "_pushed", "_reloads_count_at", "_told_ns",
+                 "_unreachable_ns", "_unread_ns")
+
+    def __init__(self, started_ns: int, pushed: bool, grace_ns: int) -> None:
+        """A process that started at this time; the list that it began with proves nothing.
 
-    def __init__(self, now_ns: int, pushed: bool, grace_ns: int) -> None:
-        """`pushed`: what discovery has counts at once, whether or not a watch is open; `grace_ns`: to follow it in."""
+        `pushed`: what discovery has counts at once, whether or not a watch is open; `grace_ns`: to follow it in.
+        """
         self.on_settings(pushed, grace_ns)
-        self._unread_at = 0   # when discovery wrote what could not be read, which counts as told; 0: nothing
-        self._reloads_count_at: list[int] = []   # when SIGHUP has what discovery has count, unless a list came since
-        self._broken = False      # no list was told since discovery, or the last watch, was lost
-        self._gone_at = 0         # when discovery could last not be reached; 0: not since the last list
-        self._all_counts_at = 0   # 6 s after the last return: all that discovery has, whatever a watch has said
-        self._told_by = now_ns - STARTING + (0 if pushed else TOLD)
+        self._told_ns = NEVER          # of the last proof of each kind
+        self._unreachable_ns = NEVER
+        self._open = False             # a watch that has told its list
+        self._lost_ns = NEVER          # when the last such watch ended
+        self._unread_ns = UNKNOWN      # when discovery first wrote what could not be used, unless a list came since
+        self._reloads_count_at: list[int] = []   # when SIGHUP has what discovery has count, unless told since
+        self._cutoffs = [Cutoff(started_ns, UNKNOWN)] if pushed else []
 
     def on_settings(self, pushed: bool, grace_ns: int) -> None:
         """From now on lists are pushed or asked for, with this grace."""
@@ -52,74 +93,90 @@
     @property
     def until_ns(self) -> int:
         """The last moment at which a request may go out by this list."""
-        return min([self._told_by, *self._reloads_count_at[:1]]) + max(0, self._grace_ns - HELD_UP)
+        return self._counts_ns() + max(0, self._grace_ns - HELD_UP)
+
+    def _counts_ns(self) -> int:
+        """When the first change that the gateway can't know of may count as told."""
+        cutoffs = [] if self._open else [cutoff.counts_ns for cutoff in self._cutoffs]
+        return min([self._proven_ns(), self._unread_ns, *self._reloads_count_at[:1], *cutoffs])
+
+    def _proven_ns(self) -> int:
+        """What the last proofs give by themselves."""
+        if not self._pushed:
+            return max(self._told_ns, self._unreachable_ns) + TOLD
+        told_ns = self._told_ns + TOLD   # what a watch misses that falls silent right after its last word
+        if not self._open:
+            told_ns = min(told_ns, self._lost_ns)
+        return max(told_ns, self._unreachable_ns)
 
     def wants_word(self, now_ns: int) -> bool:
-        """Whether what discovery has counts by now because of SIGHUP, and no list was told since."""
+        """Whether what discovery has counts by now because of SIGHUP, and was not told since."""
         return bool(self._reloads_count_at) and self._reloads_count_at[0] <= now_ns
 
-    def on_line(self, at_ns: int) -> None:
-        """A change has been taken from a watch that had told its list before: another one may wait behind it."""
-        self._unread_at = 0
-        self.on_word(at_ns)
-
-    def on_list(self, at_ns: int, asked_ns: int = 0) -> None:
-        """A call was answered with all that discovery had at this time; `asked_ns`: when the call came up."""
-        self._unread_at = 0
-        self._told_by = at_ns + TOLD
-        if self._broken:
-            self._broken = False
-            # Back by the time of the call; where it could surely not be reached before, maybe right after that.
-            self._all_counts_at = (self._gone_at or asked_ns or at_ns) + TOLD
-            self._gone_at = 0
-        self._known(at_ns)
-
-    def on_word(self, at_ns: int) -> None:
-        """A watch whose list has been taken has spoken: it was not silent at this time.
-
-        It has told what was there `LINE_WAITS` before: a change's line may wait for its turn meanwhile.
-        """
-        if not self._unread_at:
-            self._told_by = max(self._told_by, at_ns + TOLD - (0 if self._pushed else LINE_WAITS))
+    # ---- Proofs ------------------------------------------------------------------------------------------
 
-    def _known(self, at_ns: int) -> None:
-        """What SIGHUP has count by this time is known, or could not be."""
-        self._reloads_count_at = [at for at in self._reloads_count_at if at > at_ns]
+    def extend(self, proof: Proof) -> None:
+        """The only way in which the lease becomes longer."""
+        if isinstance(proof, Told):
+            self._told_ns = max(self._told_ns, proof.at_ns)
+            self._cutoffs = [cutoff for cutoff in self._cutoffs if cutoff.settled_ns > proof.at_ns]
+        elif not self._put_off(proof.at_ns):
+            return
+        self._reloads_count_at = [at for at in self._reloads_count_at if at > proof.at_ns]
 
-    def on_unread(self, at_ns: int) -> None:
-        """Something was written at this time that is not whole, or can't be used: another list is needed."""
-        self._unread_at = self._unread_at or at_ns
-        self._told_by = min(self._told_by, at_ns)
+    def _put_off(self, at_ns: int) -> bool:
+        """Discovery could not be reached at this time; whether that has what it has count anew, from its return on.
 
-    def on_watch_ended(self, at_ns: int) -> None:
-        """No watch is open from now on.
-
-        It may have ended instead of telling a change whose line had waited for its turn.  Where lists are asked for,
-        that counts 6 s after the end, but soon after a return all that discovery has counts before.
+        Where lists are pushed it had counted before, if discovery was there for longer than a change may be followed in
+        and did not tell.
         """
-        if self._pushed:
-            self._told_by = min(self._told_by, at_ns)
-        elif at_ns < self._all_counts_at + LINE_WAITS:
-            self._told_by = min(self._told_by, self._all_counts_at)
-        self._broken = True
-
-    def on_unreachable(self, at_ns: int) -> None:
-        """Discovery could not be reached at this time."""
-        self._broken = True
-        self._gone_at = at_ns
-        self._lengthen(at_ns, 0 if self._pushed else TOLD)
-
-    def _lengthen(self, at_ns: int, by_ns: int) -> None:
-        """What could not be read bars it, but not for good: a gateway has to outlive discovery."""
-        if not self._unread_at or at_ns - self._unread_at >= TOLD:
-            self._unread_at = 0
-            self._told_by = max(self._told_by, at_ns + by_ns)
-            self._known(at_ns)
+        if not self._pushed:
+            self._cutoffs = [Cutoff(at_ns + TOLD, UNKNOWN)]
+        elif any(at_ns - cutoff.counts_ns > self._grace_ns for cutoff in self._cutoffs):
+            return False
+        else:
+            self._cutoffs = []
+        self._unreachable_ns = max(self._unreachable_ns, at_ns)
+        return True
+
+    # ---- What can only shorten it ------------------------------------------------------------------------
+
+    def on_opened(self, called_ns: int) -> None:
+        """A watch has told its list, whose call came up at this time: once it ends it is held to that."""
+        self._open = True
+        if not self._pushed:
+            self._cut_off(Cutoff(called_ns + TOLD, called_ns + TOLD))
+
+    def on_watch_lost(self, at_ns: int) -> None:
+        """No watch is open from this time on, which may have ended instead of telling a change."""
+        self._open = False
+        self._lost_ns = at_ns
+        if not self._pushed:
+            self._cut_off(Cutoff(at_ns + TOLD, UNKNOWN))
+
+    def on_reached(self, at_ns: int) -> None:
+        """Discovery was there at this time: a call came up then that waited or was answered."""
+        counts_ns = at_ns if self._pushed else at_ns + TOLD
+        for cutoff in self._cutoffs:
+            cutoff.settled_ns = min(cutoff.settled_ns, max(cutoff.counts_ns, counts_ns))
+        if self._pushed and not self._open:
+            self._cut_off(Cutoff(at_ns, at_ns))   # what it had then counts, and has not been told
+
+    def on_list(self) -> None:
+        """A list has been taken: it has what could not be used before."""
+        self._unread_ns = UNKNOWN
 
-    def on_reload(self, at_ns: int) -> None:
-        """SIGHUP: discovery may be elsewhere.
+    def on_unread(self, at_ns: int) -> None:
+        """Something was written at this time that is not whole, or can't be used: another list is needed."""
+        self._unread_ns = min(self._unread_ns, at_ns)
 
-        Kept apart from the lease's own end: a watch that speaks before this and falls silent must not put it off.
-        """
+    def on_reload(self, at_ns: int) -> None:
+        """SIGHUP: discovery may be elsewhere, and what it has counts `TOLD_RELOAD` later."""
         if len(self._reloads_count_at) < MOST_RELOADS:
             self._reloads_count_at.append(at_ns + TOLD_RELOAD)
+
+    def _cut_off(self, cutoff: Cutoff) -> None:
+        if len(self._cutoffs) >= MOST_CUTOFFS:
+            last = self._cutoffs.pop()
+            cutoff = Cutoff(min(last.counts_ns, cutoff.counts_ns), max(last.settled_ns, cutoff.settled_ns))
+        self._cutoffs.append(cutoff)
--- a/gateway/clocks.py
+++ b/gateway/clocks.py
@@ -4,10 +4,11 @@
 | --- | --- | --- | --- | --- |
 | silent watch, asked or pushed | its last byte | 6 s | RENEW 2.2 + APART 0.25 + a turn, 3 at most | lease ends |
 | failed calls | discovery has it and can be reached | 6 s | CALL 3.5 + rest 0.03, or rest 2 + turn 3 | lease ends |
-| no watch, asked | its end, or the return | 6 s | rest + turn, from the watch's last word on | lease ends |
-| a watch that is open again | the return before it | 6 s | its lines wait for a turn | over if the watch ends |
-| a process is new, asked | the same | 6 s, maybe over | FIRST_CALL + turn; no clients for 5 s | lease ends |
-| a process is new, pushed | its start | the drain grace | it takes no clients for 3.5 s at most | no lease |
+| no watch, asked | its end, its call, or the return | 6 s | rest + turn, from the watch's last word on | lease ends |
+| a watch that is open again | the loss or return before it | 6 s | its lines wait for a turn | over if it ends |
+| a watch that speaks | 3 s before its word | 6 s | HEARTBEAT 2 + LATE_BEAT 0.2 | lease ends |
+| a process is new, asked | the same | 6 s, maybe over | FIRST_CALL + turn; no clients for 5 s | no lease before |
+| a process is new, pushed | its start | the drain grace | it takes no clients for 3.5 s at most | no lease before |
 | pushed, the watch has ended | the same | the drain grace | rest of 3/8 of it + one connect | lease ends |
 | pushed, connections do not come up | the same | the drain grace | the next try after 1/4 of it | it is down |
 | SIGHUP, discovery moved | the signal | 4 s | connects after 0.25 to 1 s; a second call after 1.5 s | lease ends |
@@ -19,7 +20,7 @@
 
 The lease (bridgesaddle/lease.py) is watched before each event and each write: when it is over nothing is sent, whatever
 is late.  Its end is the sum's one owner; the paths only say how seldom that is met.
-A service that is down counts anew from its return; only what can't be a full queue shows one (reachability.py).
+A service that is down counts anew from its return; only what one that is there can't do shows that (reachability.py).
 All are spans of the monotonic clock.
 """
 
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from bridgesaddle.api import SECOND, ListKind
-from bridgesaddle.lease import TOLD, TOLD_RELOAD, ListLease
+from bridgesaddle.lease import LINE_WAITS, TOLD, TOLD_RELOAD, ListLease, Proof, Told, Unreachable
 
 from .calls import Call, Try
 from .clocks import (
@@ -50,10 +50,10 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, address: tuple[str, int],
                  lines: Lines, pushed: bool,
-                 tell: Callable[[ListKind, list[Listed]], None], grace_ns: int = 0) -> None:
+                 tell: Callable[[ListKind, list[Listed]], None], grace_ns: int = 0, started_ns: int = 0) -> None:
         self._loop = loop
         self._grace_ns = grace_ns   # in which a change has to be followed
-        self.lease = ListLease(now_ns(), pushed, grace_ns)
+        self.lease = ListLease(started_ns or now_ns(), pushed, grace_ns)
         self._reach = Reachability()
         self.together = 1   # gateways that may start at the same time
         self.on_lease: Callable[[], None] = lambda: None   # told whenever the lease may be valid again
@@ -153,8 +153,9 @@
     def word(self, call: Call) -> None:
         """A watch speaks: it was not silent, but what is read now may be of the start of a hold-up."""
         now = now_ns()
-        self.lease.on_word(now - self.unread_for(now))
-        if call is self._watch and self._second is not None and not self._second.told:
+        self._extend(self._told_by_line(now - self.unread_for(now)))
+        if call is self._watch and self._second is not None and not self._second.told \
+                and not self.lease.wants_word(now):
             self._second.close()   # begun beside a watch that was only late
             self._second = None
         self._lease_renewed()
@@ -162,9 +163,25 @@
     def _missed(self, at: int) -> None:
         """Discovery could not be reached by a call or a try of this time."""
         if self._reach.missed():
-            self.lease.on_unreachable(at)
+            self._extend(Unreachable(at))
             self._lease_renewed()
 
+    def _reached(self, at: int) -> None:
+        """Discovery was there at this time: a call came up then that waited or was answered."""
+        self._reach.reached()
+        self.lease.on_reached(at)
+
+    def _told_by_line(self, at: int) -> Told:
+        """What a line of a watch proves, empty or not: that of a change may wait for its turn behind it."""
+        return Told(at if self._pushed else at - LINE_WAITS)
+
+    def _extend(self, proof: Proof) -> None:
+        """The lease becomes longer, by this proof alone."""
+        self.lease.extend(proof)
+        now = now_ns()
+        event(log, "lease_extended", proof=type(proof).__name__, of_ago_ns=now - proof.at_ns,
+              left_ns=self.lease.until_ns - now)
+
     def follow(self, pushed: bool, grace_ns: int) -> None:
         """New settings."""
         self._pushed = pushed
@@ -182,6 +199,7 @@
             for call in (self._watch, self._second):
                 if call is not None:
                     call.close()
+            self._lost(self._watch, now_ns())
             self._watch = self._second = None
 
     def fetch(self) -> None:
@@ -350,6 +368,8 @@
         """
         log.info("discovery: the watch has fallen silent")
         event(log, "call_ended", why="silent", heard_ago_ns=now_ns() - call.heard)
+        if not self._pushed:   # else what it misses counts 6 s after it fell silent, whether it is open or not
+            self._lost(call, now_ns())
         call.close()
         if self._replaced(call):
             return
@@ -380,12 +400,8 @@
         self._out_of_order = False
         self._spoilt = 0
         self._list_at = now_ns()
-        self._reach.reached()
         lay_unread = self.unread_for(self._list_at)
-        if call.told:
-            self.lease.on_line(self._list_at - lay_unread)
-        else:
-            self.lease.on_list(self._list_at - lay_unread, call.connected_at)
+        self._prove(call, self._list_at - lay_unread)
         call.told = call.told or self._list_at
         if not lay_unread:   # else the end of its watch may lie behind it
             self._unsure_until = 0
@@ -393,6 +409,19 @@
         event(log, "list", generation=change.generation, whole=change.whole, entries=len(change.listed))
         self._tell(ListKind.FULL if change.whole else ListKind.DELTA, change.listed)
 
+    def _prove(self, call: Call, at: int) -> None:
+        """A list of this time has been taken: the answer to a call has all of then, a later line what came by its turn.
+        """
+        self.lease.on_list()
+        if call.told:
+            self._reached(at)
+            self._extend(self._told_by_line(at))
+            return
+        self._reached(call.connected_at)
+        if call is not self._fetch:
+            self.lease.on_opened(call.connected_at)
+        self._extend(Told(at))
+
     def _choose(self, call: Call) -> None:
         """Of two calls for the watch the first to tell a list is the watch."""
         if call is self._second:
@@ -452,20 +481,29 @@
         call.close()
         if not self._replaced(call):
             self._over(call, why, failed)
+        elif self.lease.wants_word(now):
+            self._timers.after(self._rest(call), self._hear_after_reload, None)
 
     def _learn_from_end(self, call: Call, now: int) -> None:
         """What the end of a call tells of the lease, and of whether discovery is there."""
         if call.told:
-            self.lease.on_watch_ended(now - self.unread_for(now))   # its end may have lain unread as long
+            self._lost(call, now - self.unread_for(now))   # its end may have lain unread as long
         elif call.transport is None:
             if call.tries:   # those that have failed have told
                 self._missed(call.tried_at)
-        elif call.cut_off and not call.status and not call.heard and now - call.connected_at < AT_ONCE:
+        elif call.heard or now - call.connected_at >= AT_ONCE:
+            self._reached(call.connected_at)
+        elif call.cut_off and not call.status:
             self._missed(now)   # reset before it was answered
-        else:
+        else:   # turned away at once: by a queue that is full, or by a service that is down
             self._reach.reached()
         self._lease_renewed()
 
+    def _lost(self, call: Call | None, at: int) -> None:
+        """The watch ends; nothing is lost by the end of another call, or of one that has told no list."""
+        if call is not None and call is self._watch and call.told:
+            self.lease.on_watch_lost(at)
+
     def _over(self, call: Call, why: str, failed: bool) -> None:
         """Nothing goes on in its place."""
         if call is self._fetch:
--- a/gateway/failover.py
+++ b/gateway/failover.py
@@ -119,10 +119,10 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, addresses: Sequence[Address], lines: Lines,
                  pushed: bool, tell: Callable[[ListKind, list[Listed]], None], kept: KeptList | None,
-                 grace_ns: int = 0) -> None:
+                 grace_ns: int = 0, started_ns: int = 0) -> None:
         self._all = list(addresses)
         random.shuffle(self._all)      # gateways spread over the services
-        super().__init__(loop, timers, self._all[0], lines, pushed, tell, grace_ns)
+        super().__init__(loop, timers, self._all[0], lines, pushed, tell, grace_ns, started_ns)
         self._reach.services = len(self._all)
         self._failed = 0               # services that failed since one told a list
         self._rows: dict[str, Any] = {}
--- a/gateway/kernel.py
+++ b/gateway/kernel.py
@@ -9,9 +9,30 @@
 import asyncio
 import os
 import select
+import time
 
 from .timers import now_ns
 
+STARTING = 250_000_000
+"""What a process may have needed to come so far, ns, where the kernel does not tell."""
+STARTING_MOST = 60 * 1_000_000_000
+"""A process that began to serve later than this after its start would be an error of reading, ns."""
+
+
+def process_started_ns() -> int:
+    """When the kernel started this process, by the monotonic clock (proc(5), field 22: in clock ticks since the boot).
+    """
+    now = now_ns()
+    try:
+        with open("/proc/self/stat", "rb") as file:
+            fields = file.read().rpartition(b")")[2].split()
+        since_boot = int(fields[19]) * 1_000_000_000 // os.sysconf("SC_CLK_TCK")
+        age = time.clock_gettime_ns(time.CLOCK_BOOTTIME) - since_boot
+    except (OSError, ValueError, IndexError):
+        age = STARTING
+    return now - (age if 0 <= age < STARTING_MOST else STARTING)
+
+
 LEFT = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 """The other side has ended its sending, behind whatever is still unread."""
 BROKEN = select.POLLHUP | select.POLLERR
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -27,6 +27,7 @@
 from .discovery import Discovery
 from .handover import Handover, host_and_port
 from .holdups import HoldUps
+from .kernel import process_started_ns
 from .lines import Lines, Listed
 from .listener import Listener, listening
 from .peers import Peers
@@ -166,7 +167,7 @@
     """The parts, wired together."""
 
     def __init__(self, config: Config, loop: asyncio.AbstractEventLoop, make: Maker = Balancer,
-                 handover: Handover | None = None, waits_ns: int = TOLD_ASKED) -> None:
+                 handover: Handover | None = None, waits_ns: int = TOLD_ASKED, started_ns: int = 0) -> None:
         self._waits_ns = waits_ns   # for the first list, where lists are asked for
         soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         self._sockets = min(config.sockets, soft if soft > 0 else config.sockets)
@@ -192,10 +193,11 @@
             from .failover import Failover, KeptList
             kept = KeptList(config.list_folder, config.name) if config.list_folder else None
             self.discovery = Failover(loop, self.timers, [config.discovery, *config.others], lines,
-                                      not settings.ask_discovery, self._on_list, kept, settings.rules.drain_grace_ns)
+                                      not settings.ask_discovery, self._on_list, kept, settings.rules.drain_grace_ns,
+                                      started_ns)
         else:
             self.discovery = Discovery(loop, self.timers, config.discovery, lines, not settings.ask_discovery,
-                                       self._on_list, settings.rules.drain_grace_ns)
+                                       self._on_list, settings.rules.drain_grace_ns, started_ns)
         self.core.attach(self.upstream, self.discovery)
         self.upstream.before_send = lambda: self.discovery.catch_up(now_ns())
         self.upstream.may_send = lambda: self.discovery.may_send(now_ns())
@@ -215,7 +217,7 @@
 
     def _on_lease(self) -> None:
         """The list may be followed again; while discovery is down that of the start has to do."""
-        if self.discovery.down:
+        if self.discovery.down and self.discovery.may_send(now_ns()):
             self._told.set()
         self.core.on_lease()
 
@@ -423,7 +425,8 @@
 
 
 async def _main(config: Config, handover: Handover | None, early: list[int]) -> None:
-    await Gateway(config, asyncio.get_running_loop(), handover=handover).run(early)
+    loop = asyncio.get_running_loop()
+    await Gateway(config, loop, handover=handover, started_ns=process_started_ns()).run(early)
 
 
 def main(handover: Handover | None = None) -> int:
--- a/tests/test_incident_33.py
+++ b/tests/test_incident_33.py
@@ -9,7 +9,7 @@
 import uvloop
 
 from tests.soak.books import Books
-from tests.soak.plan import CallPlan, Fault, Plan
+from tests.soak.plan import CallPlan, Fault, Plan, draw
 from tests.soak.play import build_shim, play
 
 STRIKES_AT = 4.0
@@ -79,3 +79,16 @@
         "four calls wait in vain": [waits, order(*4 * [IN_VAIN])],
     })
     assert_none_is_late_and_all_serve_again(late, books, lasts)
+def test_a_start_proves_nothing_of_the_list_it_begins_with(shim: Path, tmp_path: Path) -> None:
+    lasts = STRIKES_AT + 25.0
+    killed = Fault(STRIKES_AT, "kill", "", size=6.0)
+    late, books = played(shim, tmp_path, lasts, {
+        "two calls wait in vain": [killed, order(*2 * [IN_VAIN])],
+        "four calls wait in vain": [killed, order(*4 * [IN_VAIN])],
+    })
+    assert_none_is_late_and_all_serve_again(late, books, lasts)
+
+
+def test_a_service_that_went_down_after_a_start_had_changes_for_the_new_process(shim: Path, tmp_path: Path) -> None:
+    plan = draw(8123)
+    assert uvloop.run(play(plan, shim, keep=tmp_path)).broken == {}
