Soak: crowds that last, with kills, SIGHUP, silence and outages in them

Cause: the soak could not see it. Its crowds last 3 to 8 s, lines of changes never wait for a turn in them, and its hosts serve again 2.5 to 4 s after they drain, before a change that is asked for counts at all (6 s).

`draw_crowded(seed)` (`--crowded`) draws crowds of 10.5 s and more: one queue for calls and lines, a line without a turn in time ends its watch, hosts stay out for 7 to 14 s, restarts after 0 to 8 s. The folder of kept lists is made: it was missing, and no play with `kept` had ever kept a list ("the list is not kept: No such file" in its logs).

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,6 +10,7 @@
 
 import uvloop
 
+from .crowds import draw_crowded
 from .plan import LASTS_S, Plan, draw
 from .play import build_shim, play
 from .processes import ROOT
@@ -22,6 +23,7 @@
     parser.add_argument("--out", type=Path, default=Path("found"), help="where records and logs of red plays go")
     parser.add_argument("--lasts", type=float, default=LASTS_S, help="seconds of a play")
     parser.add_argument("--quiet", type=float, default=0.0, help="seconds before the first fault")
+    parser.add_argument("--crowded", action="store_true", help="plays in a crowd of calls that lasts, of own lengths")
     parser.add_argument("--root", type=Path, default=ROOT, help="the checkout whose gateway is played")
     parser.add_argument("--logs", action="store_true", help="keep the logs of all plays")
     told = parser.parse_args()
@@ -29,7 +31,8 @@
         plans = [Plan.read(json.loads(Path(told.seeds).read_text())["plan"])]
     else:
         first, _, last = told.seeds.partition("-")
-        plans = [draw(seed, told.lasts, told.quiet) for seed in range(int(first), int(last or first) + 1)]
+        plans = [draw_crowded(seed) if told.crowded else draw(seed, told.lasts, told.quiet)
+                 for seed in range(int(first), int(last or first) + 1)]
     red = 0
     with tempfile.TemporaryDirectory(prefix="moleworks-shim-") as folder:
         shim = build_shim(Path(folder))
@@ -40,7 +43,8 @@
             red += bool(broken)
             print(f"seed {plan.seed}: {broken or 'held'} {played.figures}", flush=True)
             if broken:
-                (keep / "play.json").write_text(json.dumps({"plan": plan.record(), "broken": played.broken}, indent=1))
+                record = {"plan": plan.record(), "began": played.began, "broken": played.broken}
+                (keep / "play.json").write_text(json.dumps(record, indent=1))
                 for rule, cases in played.broken.items():
                     for case in cases[:3]:
                         print(f"    {rule}: {case}", flush=True)
--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -29,20 +29,32 @@
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
         self.capacity = 0.0        # calls a second; 0: no limit
+        self.lines_wait = False    # lines of changes take a turn as calls do
+        self.keeps = False         # a call that has no turn in time is kept until its time is over
         self.turned_away = 0
         self._free_at = 0.0
 
-    async def wait(self) -> bool:
-        """Wait for a turn; false where there is none in time: at once where the queue is that long already."""
+    def take(self) -> float | None:
+        """Take a turn: how far off it is, seconds; None where there is none in time."""
         if not self.capacity:
-            return True
+            return 0.0
         now = self._loop.time()
         begins = max(now, self._free_at)
         if begins - now > MOST_WAIT_S:
             self.turned_away += 1
-            return False
+            return None
         self._free_at = begins + 1 / self.capacity
-        await asyncio.sleep(self._free_at - now)
+        return self._free_at - now
+
+    async def wait(self) -> bool:
+        """Wait for a turn; false where there is none in time: at once where the queue is that long already."""
+        waits = self.take()
+        if waits is None:
+            if self.keeps:
+                await asyncio.sleep(MOST_WAIT_S)
+            return False
+        if waits:
+            await asyncio.sleep(waits)
         return True
 
 
@@ -119,6 +131,10 @@
                 sock.close()
             self._fill = []
 
+    def reset_calls(self, active: bool) -> None:
+        """Calls are reset as soon as they have come."""
+        self.resets = active
+
     def reset(self) -> None:
         """Every open call is reset."""
         for task in list(self._tasks):
@@ -130,6 +146,11 @@
             writer.write(b"1\r\n\n\r\n")
         self.silent |= self._watches
 
+    @property
+    def watched(self) -> bool:
+        """Whether a watch is open that has not fallen silent."""
+        return bool(self._watches - self.silent)
+
     async def _serve(self, sock: socket.socket) -> None:
         reader, writer = await asyncio.open_connection(sock=sock)
         try:
@@ -196,6 +217,8 @@
                 if not first and (self.ends or self.ends_late_s):
                     await self._beat_for(writer, self.ends_late_s)
                     return
+                if not first and service.turns.lines_wait and not await self._beat_until_turn(writer):
+                    return
                 generation = service.generation
                 text = service.line(self.gateway, since, not 0 < since <= generation or (first and self.whole)) + b"\n"
                 if await self._say(writer, text):
@@ -216,6 +239,12 @@
             await self._say(writer, b"\n")
             await asyncio.sleep(min(left, BEAT_S))
 
+    async def _beat_until_turn(self, writer: asyncio.StreamWriter) -> bool:
+        """Empty lines while a change's line waits for its turn; false where it had none in time."""
+        waits = self._service.turns.take()
+        await self._beat_for(writer, MOST_WAIT_S if waits is None else waits)
+        return waits is not None
+
     async def _say(self, writer: asyncio.StreamWriter, data: bytes) -> bool:
         """Write one chunk; whether it has left whole."""
         if writer in self.silent:
@@ -278,14 +307,18 @@
 
     def told(self, gateway: str, generation: int) -> None:
         """A list has left for a gateway: its watch speaks again, if it was silent."""
-        for spell in self.books.spells:
-            if spell.gateway == gateway and spell.kind == "silent":
-                spell.end = min(spell.end, self.clock())
+        self.silence_ended(gateway)
         for life in reversed(self.books.lives):
             if life.gateway == gateway:
                 life.written.append((self.clock(), generation))
                 return
 
+    def silence_ended(self, gateway: str) -> None:
+        """A gateway has no silent watch any more."""
+        for spell in self.books.spells:
+            if spell.gateway == gateway and spell.kind == "silent":
+                spell.end = min(spell.end, self.clock())
+
     def spell(self, gateway: str, kind: str) -> Spell:
         """A stretch without discovery, or with a silent watch, begins."""
         spell = Spell(gateway, kind, self.clock())
--- a/tests/soak/play.py
+++ b/tests/soak/play.py
@@ -40,6 +40,7 @@
     broken: dict[str, list[str]]
     figures: dict[str, float]
     books: Books
+    began: float = 0.0   # by the wall clock of the gateways' logs, Unix time
 
 
 def settings(plan: Plan) -> dict[str, Any]:
@@ -98,7 +99,8 @@
             lag.cancel()
             self.books.held_writes = {name: [at - self._begun for at in gateway.control.held_writes()]
                                       for name, gateway in self.gateways.items()}
-            return Played(self.books.verdict(), self.books.figures() | {"calls": self.discovery.calls}, self.books)
+            return Played(self.books.verdict(), self.books.figures() | {"calls": self.discovery.calls}, self.books,
+                          time.time() - self.clock())
 
     @asynccontextmanager
     async def parts(self) -> AsyncIterator[None]:
@@ -130,6 +132,7 @@
             self._door[name] = 0
             self.gateways[name] = GatewayProcess(name, self._folder / name, config, self.books, self.clock,
                                                  self._shim, self._root)
+            (self._folder / name / "lists").mkdir()   # the platform gives the folder; a list is kept in no other
             self.fronts[name] = Front(name, self.gateways[name].address, patience=plan.patience)
 
     async def _start(self) -> None:
@@ -271,6 +274,43 @@
         self._at(name).fall_silent(bool(fault.size))
         self.discovery.spell(name, "silent")   # until a list leaves for it
 
+    async def _watch_silent(self, name: str, fault: Fault) -> None:
+        """The open watch falls silent, if there is one: a call that waits for its turn is none."""
+        if self._at(name).watched:
+            await self._silent(name, fault)
+
+    async def _jammed(self, name: str, fault: Fault) -> None:
+        """As `crowded`, and lines of changes wait for their turn too: discovery can be reached, and all counts."""
+        self.discovery.turns.lines_wait = True
+        await self._crowded(name, fault)
+        self.discovery.turns.lines_wait = False
+
+    async def _jammed_keeps(self, name: str, fault: Fault) -> None:
+        """The same, and a call that has no turn in time is kept for its whole time and turned away then."""
+        self.discovery.turns.keeps = True
+        await self._jammed(name, fault)
+        self.discovery.turns.keeps = False
+
+    async def _down(self, name: str, fault: Fault, way: Callable[[Door, bool], None]) -> None:
+        """Discovery goes down at both of its addresses: all calls and watches end, and none can be begun."""
+        doors = self.discovery.doors[name]
+        for door in doors:
+            way(door, True)
+            door.reset()
+        self.discovery.silence_ended(name)
+        await self._spell(name, "away", fault.lasts)
+        for door in doors:
+            way(door, False)
+
+    async def _down_refuse(self, name: str, fault: Fault) -> None:
+        await self._down(name, fault, Door.refuse)
+
+    async def _down_drop(self, name: str, fault: Fault) -> None:
+        await self._down(name, fault, Door.drop)
+
+    async def _down_resets(self, name: str, fault: Fault) -> None:
+        await self._down(name, fault, Door.reset_calls)
+
     async def _ends(self, name: str, fault: Fault) -> None:
         await self._switch(name, "ends", fault.lasts)
 
