Soak: each host listens at an address of its own, which no foreign process can meet

Cause: hosts listened at ports of 127.0.0.1 drawn by the kernel, and a gateway that was left over from another run of tests called its discovery at a port that had become a host's.

--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -9,10 +9,10 @@
 from contextlib import suppress
 from typing import Any
 
+from .addresses import free_address
 from .books import Books, Change, Spell, Watch
 from .hosts import Clock, Host
 from .plan import CallPlan
-from .processes import free_address
 
 BEAT_S = 2.0
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from .addresses import free_address
 from .books import Begin, Books
 
 Clock = Callable[[], float]
@@ -66,10 +67,11 @@
         """Take connections of each gateway."""
         loop = asyncio.get_running_loop()
         for gateway in gateways:
+            address, port = free_address()
             server = await loop.create_server(lambda gateway=gateway: Connection(self, gateway),  # type: ignore[misc]
-                                              "127.0.0.1", 0, backlog=512)
+                                              address, port, backlog=512)
             self._servers.append(server)
-            self.addresses[gateway] = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+            self.addresses[gateway] = f"{address}:{port}"
 
     def take(self, connection: Connection, begin: Begin) -> None:
         """A whole request has come."""
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -12,13 +12,13 @@
 import subprocess
 import sys
 import tempfile
-from itertools import count
 from math import inf
 from pathlib import Path
 from typing import Any
 
 from moleworks.children import die_with_parent
 
+from .addresses import free_address
 from .books import Books, Life
 from .hosts import Clock
 
@@ -30,7 +30,6 @@
 STARTS_S = 10.0
 NO_SIGHUP_S = 1.0
 """SIGHUP is not sent in a program's first second, nor before it is ready (the page of terms)."""
-PORT = 7070
 
 
 def build_shim(folder: Path) -> Path:
@@ -82,15 +81,6 @@
         return max(0, self._get(2 + 2 * OPERATIONS.index(operation)))
 
 
-def free_address() -> tuple[str, int]:
-    """An address of loopback that nobody else uses: its own, so that no port drawn for a client can be the same."""
-    number = next(_numbers)
-    return f"127.{100 + os.getpid() % 100}.{1 + number // 200 % 250}.{1 + number % 200}", PORT
-
-
-_numbers = count()
-
-
 class GatewayProcess:
     """One name: its configuration, its process now, and its entry in the books."""
 
