--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,9 +21,9 @@
     parser = argparse.ArgumentParser(prog="python -m tests.soak", description=__doc__)
     parser.add_argument("seeds", help="a seed, a range such as 1-50, or the record of a play")
     parser.add_argument("--out", type=Path, default=Path("found"), help="where records and logs of red plays go")
-    parser.add_argument("--lasts", type=float, default=LASTS_S, help="seconds of a play")
+    parser.add_argument("--lasts", type=float, default=0.0, help=f"seconds of a play ({LASTS_S}; crowded: drawn)")
     parser.add_argument("--quiet", type=float, default=0.0, help="seconds before the first fault")
-    parser.add_argument("--crowded", action="store_true", help="plays in a crowd of calls that lasts, of own lengths")
+    parser.add_argument("--crowded", action="store_true", help="plays in a crowd of calls that lasts")
     parser.add_argument("--root", type=Path, default=ROOT, help="the checkout whose gateway is played")
     parser.add_argument("--logs", action="store_true", help="keep the logs of all plays")
     told = parser.parse_args()
@@ -31,7 +31,7 @@
         plans = [Plan.read(json.loads(Path(told.seeds).read_text())["plan"])]
     else:
         first, _, last = told.seeds.partition("-")
-        plans = [draw_crowded(seed) if told.crowded else draw(seed, told.lasts, told.quiet)
+        plans = [draw_crowded(seed, told.lasts) if told.crowded else draw(seed, told.lasts or LASTS_S, told.quiet)
                  for seed in range(int(first), int(last or first) + 1)]
     red = 0
     with tempfile.TemporaryDirectory(prefix="moleworks-shim-") as folder:
