Orders: the real Discovery in virtual time against a world that knows the truth

Nothing enumerated the orders of faults against a judge that knows what discovery had and when it could be reached.

The first sequences are the orders seen with real processes: the eight with lists asked for and the start with lists pushed.

--- /dev/null
+++ b/tests/orders/rows.py
@@ -0,0 +1,36 @@
+"""The orders that were seen to be late with real processes, by name."""
+
+from __future__ import annotations
+
+from .draw import Answer, Kind, Step, Steps
+
+LATE_503 = Answer("503", 2.9)
+
+
+def _four(answer: Answer = LATE_503, count: int = 4) -> Step:
+    return Step(Kind.CALLS, how=answer, count=count)
+
+
+def _queued(count: int, at: float) -> Steps:
+    return (_four(count=count), Step(Kind.QUEUED, at, span=2.9, how=Answer("reset")))
+
+
+ASKED: dict[str, Steps] = {
+    "a silent watch, four calls wait and are turned away":
+        (_four(), Step(Kind.SILENT), Step(Kind.CHANGE, 0.05)),
+    "a silent watch, calls are turned away at once for 33 s":
+        (Step(Kind.SILENT), Step(Kind.CALLS, how=Answer("503"), span=33.0), Step(Kind.CHANGE, 0.05)),
+    "a silent watch, a change, SIGHUP, four calls wait and are turned away":
+        (_four(), Step(Kind.SILENT), Step(Kind.CHANGE, 0.05), Step(Kind.RELOAD, 0.05)),
+    "killed, back after 6 s, two calls wait and are turned away":
+        (_four(count=2), Step(Kind.KILL, span=6.0, gap=1.0), Step(Kind.CHANGE, 0.05)),
+    "killed, back after 6 s, four calls wait and are turned away":
+        (_four(), Step(Kind.KILL, span=6.0, gap=1.0), Step(Kind.CHANGE, 0.05)),
+    "a line waits, the watch is reset, two calls wait and are turned away": _queued(2, 0.0),
+    "a line waits soon after a heartbeat, the watch is reset, two calls wait and are turned away": _queued(2, 0.3),
+    "a line waits, the watch is reset, four calls wait and are turned away": _queued(4, 0.0),
+}
+PUSHED: dict[str, Steps] = {
+    "started anew, calls are reset from 0.5 s after the start on":
+        (Step(Kind.KILL, span=0.1, gap=1.0), Step(Kind.CHANGE, 0.05), Step(Kind.RESETS, 0.55, span=20.0)),
+}
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -7,12 +7,8 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import random
-from collections.abc import Callable, Generator
-from contextlib import suppress
-from heapq import heappop, heappush
-from itertools import count
+from collections.abc import Callable
 from types import CoroutineType
 from typing import Any, cast
 
@@ -26,72 +22,11 @@
 from gateway.lines import Lines, Listed
 from gateway.starts import StartTimes
 from gateway.timers import Timers
+from tests.virtual import HEAD, TURNED_AWAY, Clock, Task, Wire, line, never
 
 TOLD = 6 * SECOND
 """By the standing terms; no figure of the gateway's own."""
 OLD, NEW = 41, 43
-HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-TURNED_AWAY = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
-
-
-def line(generation: int) -> bytes:
-    text = json.dumps({"generation": generation, "reset": True, "instances": []}).encode() + b"\n"
-    return b"%x\r\n%b\r\n" % (len(text), text)
-
-
-class Clock:
-    """Time that passes from one event to the next: the `Timers` of the gateway and its clock."""
-
-    def __init__(self) -> None:
-        self.now = 1_000 * SECOND
-        self._heap: list[tuple[int, int, Callable[[Any], None], Any]] = []
-        self._number = count()
-
-    def at(self, due: int, call: Callable[[Any], None], argument: Any) -> None:
-        heappush(self._heap, (max(due, self.now), next(self._number), call, argument))
-
-    def after(self, delay: int, call: Callable[[Any], None], argument: Any) -> None:
-        self.at(self.now + delay, call, argument)
-
-    def run(self, until: int, over: Callable[[], bool]) -> None:
-        while self._heap and self._heap[0][0] <= until and not over():
-            self.now, _, call, argument = heappop(self._heap)
-            call(argument)
-
-
-class Wire:
-    """One call as the service sees it: the transport of its protocol."""
-
-    def __init__(self, clock: Clock, protocol: Any) -> None:
-        self.clock = clock
-        self.protocol = protocol
-        self.open = True
-
-    def write(self, data: bytes) -> None:
-        """The call itself; what it asks for does not matter here."""
-
-    def get_extra_info(self, _: str) -> None:
-        """There is no socket: nothing can be read ahead."""
-
-    def is_closing(self) -> bool:
-        return not self.open
-
-    def abort(self) -> None:
-        if self.open:
-            self.open = False
-            self.clock.after(0, self.protocol.connection_lost, None)
-
-    def say(self, data: bytes, after: int = 0) -> None:
-        self.clock.after(after, self._say, data)
-
-    def _say(self, data: bytes) -> None:
-        if self.open:
-            self.protocol.data_received(data)
-
-    def end(self, after: int = 0) -> None:
-        self.clock.after(after, lambda _: self.abort(), None)
-
-
 Behaviour = Callable[[Wire], None]
 
 
@@ -159,7 +94,7 @@
         self.calls = 0
 
     def create_task(self, coroutine: CoroutineType[Any, Any, None]) -> Any:
-        return _Task(self.clock, coroutine)
+        return Task(self.clock, coroutine)
 
     async def create_connection(self, make: Callable[[], Any], *_: Any) -> None:
         way = self._ways[self.calls % len(self._ways)]
@@ -168,7 +103,7 @@
         if not back and way == "refused":
             raise ConnectionRefusedError
         if not back and way == "hanging":
-            await _never()
+            await never()
         wire = Wire(self.clock, make())
         wire.protocol.connection_made(wire)
         if back:
@@ -177,37 +112,6 @@
             cast(Behaviour, WAYS[way])(wire)
 
 
-class _Never:
-    def __await__(self) -> Generator[None, None, None]:
-        while True:
-            yield
-
-
-async def _never() -> None:
-    await _Never()
-
-
-class _Task:
-    """A coroutine that runs up to where it waits."""
-
-    def __init__(self, clock: Clock, coroutine: CoroutineType[Any, Any, None]) -> None:
-        self._clock = clock
-        self._coroutine = coroutine
-        clock.after(0, self._begin, None)
-
-    def _begin(self, _: None) -> None:
-        with suppress(StopIteration):
-            self._coroutine.send(None)
-
-    def cancel(self) -> None:
-        self._clock.after(0, self._end, None)
-
-    def _end(self, _: None) -> None:
-        if self._coroutine.cr_frame is not None:
-            with suppress(StopIteration):
-                self._coroutine.throw(asyncio.CancelledError())
-
-
 def heard_after(monkeypatch: pytest.MonkeyPatch, ways: list[str], back: int, turn: int, *, pushed: bool = False,
                 several: bool = False, moved: int = 0, seed: int = 0) -> tuple[int, int]:
     """How long after its return the service's list is heard, and the calls until then."""
