--- a/tests/orders/play.py
+++ b/tests/orders/play.py
@@ -39,6 +39,8 @@
 LATE_BEAT = 200 * MS
 TURN = 20 * MS
 """How long discovery takes for an answer where nothing else is drawn."""
+CONNECT = MS // 5
+"""How long a connection takes to come up, or to be refused."""
 SYN_AGAIN = (SECOND, 3 * SECOND, 7 * SECOND)
 """When the kernel sends a SYN again."""
 OLD_ADDRESS_CLOSES = 1500 * MS
@@ -209,6 +211,7 @@
         self._begun = self._clock.now
         self.missed = 0          # calls in a row that could not reach discovery
         self.told = False
+        self.follows = known     # the version of the list that it has; SIGHUP sets `generation` back
         fixed: list[Any] = [cast(asyncio.AbstractEventLoop, self), cast(Timers, self), ("127.0.0.1", self.address),
                             Lines(["a"], [], StartTimes()), play.world.pushed, self._tell, GRACE]
         if "started_ns" in inspect.signature(Discovery).parameters:
@@ -221,6 +224,7 @@
     def _tell(self, kind: ListKind, listed: list[Listed]) -> None:
         if kind in (ListKind.FULL, ListKind.DELTA):
             self.told = True
+            self.follows = self.discovery.generation
 
     # ---- Timers and loop, as `Discovery` sees them ----------------------------------------------------------
 
@@ -243,7 +247,7 @@
 
     def create_task(self, coroutine: CoroutineType[Any, Any, None]) -> Any:
         """As the event loop's."""
-        return Task(cast(Clock, self), coroutine)
+        return Task(cast(Clock, self), coroutine, CONNECT)
 
     async def create_connection(self, make: Callable[[], Any], _: str, port: int) -> None:
         """As the event loop's; comes up at once, or not at all until its SYN is sent again."""
@@ -589,7 +593,7 @@
         sends = takes and process.discovery.may_send(now)
         self._note_hold(now, process.told and not sends)
         if sends:
-            self._judge_send(now, process.discovery.generation)
+            self._judge_send(now, process.follows)
         else:
             self._late = None
 
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -107,14 +107,15 @@
 class Task:
     """A coroutine that runs up to where it waits."""
 
-    def __init__(self, clock: Clock, coroutine: CoroutineType[Any, Any, None]) -> None:
+    def __init__(self, clock: Clock, coroutine: CoroutineType[Any, Any, None], begins_after: int = 0) -> None:
         self._clock = clock
         self._coroutine = coroutine
-        clock.after(0, self._begin, None)
+        clock.after(begins_after, self._begin, None)
 
     def _begin(self, _: None) -> None:
-        with suppress(StopIteration):
-            self._coroutine.send(None)
+        if self._coroutine.cr_frame is not None:   # else it was cancelled before it began
+            with suppress(StopIteration):
+                self._coroutine.send(None)
 
     def cancel(self) -> None:
         """Cancel it where it waits."""
@@ -122,5 +123,5 @@
 
     def _end(self, _: None) -> None:
         if self._coroutine.cr_frame is not None:
-            with suppress(StopIteration):
+            with suppress(StopIteration, asyncio.CancelledError):
                 self._coroutine.throw(asyncio.CancelledError())
