--- a/tests/orders/rows.py
+++ b/tests/orders/rows.py
@@ -29,6 +29,8 @@
     "a line waits, the watch is reset, two calls wait and are turned away": _queued(2, 0.0),
     "a line waits soon after a heartbeat, the watch is reset, two calls wait and are turned away": _queued(2, 0.3),
     "a line waits, the watch is reset, four calls wait and are turned away": _queued(4, 0.0),
+    "a heartbeat comes while the call at the end of SIGHUP's time waits":
+        (Step(Kind.CHANGE, 0.3), Step(Kind.RELOAD, 4.0)),
 }
 PUSHED: dict[str, Steps] = {
     "started anew, calls are reset from 0.5 s after the start on":
