--- a/tests/orders/world.py
+++ b/tests/orders/world.py
@@ -174,7 +174,8 @@
         """6 s after each lost watch and each return, and at once where no watch was opened since."""
         known = self._known_start()
         anew = [known] if known != self.life.start else []
-        losses = [watch.end for watch in self.watches if watch.end <= change.at and self._was_last(watch)] or [self.start]
+        losses = [watch.end for watch in self.watches if watch.end <= change.at and self._was_last(watch)]
+        losses = losses or [self.start]
         returns = [away.end for away in self.aways if away.end <= change.at]
         for since in losses + returns:
             at = self._six_seconds_on(max([since, *anew]))
