--- a/tests/orders/rows.py
+++ b/tests/orders/rows.py
@@ -49,6 +49,14 @@
         (Step(Kind.CALLS, how=Answer("reset", 0.05), count=20), Step(Kind.END), Step(Kind.CHANGE, 0.3)),
     "a return between the end of a watch and the next call":
         (Step(Kind.HANGING, span=0.2), Step(Kind.QUEUED, 3.3, span=2.9, how=Answer("reset")), _crowd(9.0)),
+    "calls wait, and discovery is cut off after the list was over":
+        (_four(count=2), Step(Kind.QUEUED, 2.3, span=2.9, how=Answer("reset")), Step(Kind.HANGING, 6.0, span=20.0)),
+    "killed, back after 6 s, and discovery resets calls soon after the start":
+        (Step(Kind.KILL, span=6.0, gap=1.0), Step(Kind.CHANGE, 4.0), Step(Kind.RESETS, 2.4, span=5.0)),
+    "a new process loses its first watch within 6 s of the kill":
+        (Step(Kind.KILL, span=0.1, gap=1.0), Step(Kind.QUEUED, 2.3, span=2.9, how=Answer("reset")), _four(count=2)),
+    "the call at the end of SIGHUP's time is cut short, and a heartbeat comes while the next one waits":
+        (Step(Kind.RELOAD, 2.9), _four(Answer("cut", 0.5)), _four(Answer("list", 0.5))),
 }
 PUSHED: dict[str, Steps] = {
     "started anew, calls are reset from 0.5 s after the start on":
@@ -61,4 +69,6 @@
         (Step(Kind.SILENT), Step(Kind.CHANGE, 0.05), Step(Kind.HANGING, 0.05, span=20.0)),
     "calls are answered by a reset after 0.05 s":
         (Step(Kind.CALLS, how=Answer("reset", 0.05), count=20), Step(Kind.END), Step(Kind.CHANGE, 1.0)),
+    "the call at the end of SIGHUP's time is cut short, and a heartbeat comes while the next one waits":
+        (Step(Kind.RELOAD, 2.9), _four(Answer("cut"), 1), _four(Answer("list", 0.3))),
 }
