Time left is worded by the look at the clock that bounds its write, long bodies too

The told time grows by the whole stop, however long that is.

Change: gateway/upstream.py _write looks at the clock for the message after _may_still, and the write has to come within 5 ms of that look and of the check, whichever is older; _write_body becomes _begin_body: the head of a long body goes out by the same bounded write, what has come of the body behind it. The body's part is not shown red by a test of its own: between its wording and its write there was no look to stop at.

The test: a message with no id at a host now fails it (before, it only ended a thread of the test's own host).

--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -152,11 +152,12 @@
         attempt.conn = self
         self._write(attempt)
 
-    def _may_still(self, attempt: Attempt, now: int) -> bool:
+    def _may_still(self, attempt: Attempt) -> bool:
         """Whether an attempt may go out, asked anew where that was asked too long ago.
 
         Its time is looked at always: a decision may be of this moment and its request's deadline long past.
         """
+        now = now_ns()
         return now < attempt.due and (now - attempt.checked <= CHECKED_FOR or self.may_carry(attempt))
 
     def _write(self, attempt: Attempt) -> None:
@@ -165,29 +166,29 @@
         self._written = False
         self.clogged = False
         self._body_out = attempt.body
-        now = self.moved = now_ns()
-        while self._may_still(attempt, now):
+        while self._may_still(attempt):
+            now = self.moved = now_ns()   # the last look but one, by which the time left is worded
             message = attempt.message(now)
-            if attempt.body is not None and not transport.is_closing():
-                self._write_body(transport, attempt.body, message)
-                return
             # What is decided and worded is written at once or not at all: guards against a stop in between.  So ahead
             # of the transport, whose own way to the socket is much longer.
-            sent = -1 if transport.is_closing() else write_within(self._fd, message, attempt.checked + CHECKED_FOR)
+            sent = -1 if transport.is_closing() \
+                else write_within(self._fd, message, min(attempt.checked, now) + CHECKED_FOR)
             if sent >= 0:
                 if sent < len(message):
                     transport.write(message[sent:])
-                self._flushed()
+                if attempt.body is not None:
+                    self._begin_body(transport, attempt.body)
+                else:
+                    self._flushed()
                 return
             if transport.is_closing():
                 break
-            now = self.moved = now_ns()
         self.give_up(Outcome.MOOT)
 
-    def _write_body(self, transport: asyncio.Transport, body: Body, message: bytes) -> None:
+    def _begin_body(self, transport: asyncio.Transport, body: Body) -> None:
+        """Send what has come of a long body; the rest follows as it comes."""
         start = body.attach(self)
-        transport.write(message + (b"" if body.length is None else start))
-        if body.length is None and start:
+        if start:
             self.more(start)
         if body.whole:
             self.last()
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -14,7 +14,7 @@
 import time
 from collections.abc import Callable
 from contextlib import ExitStack
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
@@ -91,6 +91,7 @@
     answer: Callable[[int], bytes]
     stops: Stops
     begins: list[Begin]
+    nameless: list[bytes] = field(default_factory=list)   # heads with no id
     address: str = ""
 
     def __enter__(self) -> Host:
@@ -128,6 +129,9 @@
             data += _more(conn)
         head, _, rest = data.partition(b"\r\n\r\n")
         headers = dict(line.lower().split(b": ", 1) for line in head.split(b"\r\n")[1:])
+        if b"x-request-id" not in headers:
+            self.nameless.append(head)
+            raise ConnectionResetError
         self.begins.append(Begin(at, headers[b"x-request-id"].decode(), int(headers[b"x-timeout-ms"]) / 1000, looks))
         number = len(self.begins)
         length = int(headers.get(b"content-length", b"0"))
@@ -257,6 +261,7 @@
                 await stage.begin(rows=rows)
                 client = Client(stage.where)
                 await asyncio.to_thread(way.ask, client, stops, at, slow)
+            assert [head for host in hosts for head in host.nameless] == []
             over.extend(begin.told_s - (client.asked[begin.rid] + PATIENCE_S - begin.at) for begin in begins)
     play(scene)
     return over, begins[-1].looks
