Tests: a request that lies unread behind eight others is told its whole time, red and listed

Cause: gateway/server.py steer reads a connection with 8 open requests no further; what its client sends meanwhile lies in the kernel, and core.py on_request counts its time from when it is read.

Evidence: sent 0.4 s before the answers of the eight, told 1.981 s of 2 with 1.585 left: 0.396 s too much, 0.15 allowed.

--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -20,9 +20,10 @@
 import pytest
 
 from bridgesaddle.api import MS, SECOND
+from gateway.server import PIPELINED
 from gateway.timers import now_ns
 from gateway.upstream import CHECKED_FOR
-from tests.sockets import Stage, play, request
+from tests.sockets import FakeHost, Stage, play, request
 
 STOP_S = 0.2
 SLOW_S = (CHECKED_FOR + MS) / SECOND
@@ -278,3 +279,24 @@
             if max(over) > SLACK_S:
                 red[name, at] = over
     assert red == {}
+
+
+def test_a_request_that_lay_unread_behind_others_is_told_no_more_time_than_its_client_has() -> None:
+    async def scene() -> None:
+        host = FakeHost(reply=None)
+        async with Stage() as stage:
+            await stage.begin(host)
+            client = await stage.client()
+            for number in range(PIPELINED):
+                client.send(request(rid=f"r{number}"))
+            seen = await host.seen.get()
+            await asyncio.sleep(STOP_S)   # all are read, and the connection is read no further
+            asked = time.monotonic()
+            client.send(request(rid="last", X_Timeout_Ms="2000"))
+            await asyncio.sleep(2 * STOP_S)
+            while seen.headers["x-request-id"] != "last":
+                seen.reply(CLOSES)
+                seen = await host.seen.get()
+            left = asked + PATIENCE_S - time.monotonic()
+            assert int(seen.headers["x-timeout-ms"]) / 1000 <= left + SLACK_S
+    play(scene)
