Requests that lie unread behind others lose the time they wait, as after a stop

Change: gateway/server.py. A connection that is read no further is looked at every 30 ms already, for its client's end; the same look notes from when on bytes wait. Requests that are read after that are taken to have come then, until a read has emptied the connection. Of several the oldest counts, so a later one is told too little; one with no time left by that is refused unsent.

Open: what follows a long body that is read in full pieces for long is taken to be as old as the first wait.

--- a/gateway/server.py
+++ b/gateway/server.py
@@ -69,8 +69,11 @@
         self._ended = False      # the client has ended its sending, and all of it is read
         self.leaving = False        # it has ended its sending, whether or not all of it is read
         self._paused = False
+        self._asked_for = PIECE   # bytes, by the read that goes on
         self.since = now_ns()    # when what is being waited for began
         self.waiting_since = 0   # its first request may have come this early, before it was accepted
+        self._looked_at = 0      # when it was last asked what lies unread, while it is not read
+        self._unread_since = 0   # what is read next may have come this early
         self._asked = False      # a whole request has come
         self.lingering = False
         self.surplus = False     # there was no room for it: its request is refused unsent
@@ -120,10 +123,19 @@
                 self.server.core.on_gone(exchange.request)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._piece[:self.server.room.piece()] if self._coming is not None else self._piece
+        piece = self._piece[:self.server.room.piece()] if self._coming is not None else self._piece
+        self._asked_for = len(piece)
+        return piece
 
     def buffer_updated(self, nbytes: int) -> None:
         self.data_received(self._piece[:nbytes])
+        if nbytes < self._asked_for:   # nothing older is left
+            self._unread_since = 0
+
+    def came_since(self) -> int:
+        """From when on the request that has just been read may have waited unread; 0: it has not."""
+        accepted, self.waiting_since = self.waiting_since, 0
+        return min(filter(None, (accepted, self._unread_since)), default=0)
 
     def data_received(self, data: memoryview) -> None:
         parser = self._parser
@@ -173,7 +185,7 @@
         wanted = bool(len(self._exchanges) >= PIPELINED or self._stuck_since
                       or (self._coming is not None and self._coming.full)) and not self.lingering
         if wanted and not self._paused:
-            self._paused_at = now_ns()
+            self._paused_at = self._looked_at = now_ns()
             transport.pause_reading()
             self.server.paused(self)
         elif self._paused and not wanted:
@@ -182,11 +194,17 @@
         self._paused = wanted
 
     def look_unread(self) -> bool:
-        """While nothing is read an end stays unseen: it is asked for.  False once there is nothing more to look for."""
+        """While nothing is read an end stays unseen: it is asked for.  False once there is nothing more to look for.
+
+        So is whether bytes wait: the time of their requests runs.
+        """
         transport = self.transport
         if not self._paused or self.leaving or transport is None or transport.is_closing():
             return False
+        looked_at, self._looked_at = self._looked_at, now_ns()
         events = waiting(transport)
+        if events and not self._unread_since:
+            self._unread_since = looked_at
         if events & BROKEN:
             transport.abort()
         elif events & LEFT:
@@ -587,7 +605,7 @@
             exchange.refused(0)   # nothing was sent for it
             return
         exchange.id = asked.id
-        asked.waiting_since, exchange.conn.waiting_since = exchange.conn.waiting_since, 0
+        asked.waiting_since = exchange.conn.came_since()
         self._ids.add(asked.id)
         exchange.request = self.core.on_request(exchange, asked)
 
