--- a/bridgesaddle/lease.py
+++ b/bridgesaddle/lease.py
@@ -68,7 +68,7 @@
 class ListLease:
     """The lease of one gateway's list.  Times are monotonic, ns."""
 
-    __slots__ = ("_away", "_cutoffs", "_grace_ns", "_lost_ns", "_open", "_pushed", "_reloads_count_at", "_started_ns",
+    __slots__ = ("_away", "_cutoffs", "_grace_ns", "_lost_ns", "_open", "_pushed", "_reloads", "_started_ns",
                  "_told_ns", "_unanswered_ns", "_unreachable_ns", "_unread_ns")
 
     def __init__(self, started_ns: int, pushed: bool, grace_ns: int) -> None:
@@ -76,7 +76,8 @@
 
         `pushed`: what discovery has counts at once, whether or not a watch is open; `grace_ns`: to follow it in.
         """
-        self.on_settings(pushed, grace_ns)
+        self._pushed = pushed
+        self._grace_ns = grace_ns
         self._started_ns = started_ns
         self._away = False             # discovery could not be reached, and nothing has reached it since
         self._told_ns = NEVER          # of the last proof of each kind
@@ -85,11 +86,14 @@
         self._open = False             # a watch that has told its list
         self._lost_ns = NEVER          # when the last such watch ended
         self._unread_ns = UNKNOWN      # when discovery first wrote what could not be used, unless a list came since
-        self._reloads_count_at: list[int] = []   # when SIGHUP has what discovery has count, unless told since
+        self._reloads: list[Cutoff] = []   # when SIGHUP has what discovery has count, also while a watch is open
         self._cutoffs: list[Cutoff] = []
 
     def on_settings(self, pushed: bool, grace_ns: int) -> None:
-        """From now on lists are pushed or asked for, with this grace."""
+        """From now on lists are pushed or asked for, with this grace: what counted by the old settings goes on to."""
+        if pushed is not self._pushed and not self._open:
+            counts_ns = self._counts_ns()
+            self._cut_off(Cutoff(counts_ns, counts_ns))
         self._pushed = pushed
         self._grace_ns = grace_ns
 
@@ -101,7 +105,7 @@
     def _counts_ns(self) -> int:
         """When the first change that the gateway can't know of may count as told."""
         cutoffs = [] if self._open else [cutoff.counts_ns for cutoff in self._cutoffs]
-        return min([self._proven_ns(), self._unread_ns, *self._reloads_count_at[:1], *cutoffs])
+        return min([self._proven_ns(), self._unread_ns, *(cutoff.counts_ns for cutoff in self._reloads), *cutoffs])
 
     def _proven_ns(self) -> int:
         """What the last proofs give by themselves."""
@@ -114,7 +118,7 @@
 
     def wants_list(self, now_ns: int) -> bool:
         """Whether what discovery has counts by now because of SIGHUP, or as it was written and can't be used."""
-        return self._unread_ns < UNKNOWN or any(at <= now_ns for at in self._reloads_count_at[:1])
+        return self._unread_ns < UNKNOWN or any(cutoff.counts_ns <= now_ns for cutoff in self._reloads)
 
     # ---- Proofs ------------------------------------------------------------------------------------------
 
@@ -126,7 +130,7 @@
             self._cutoffs = [cutoff for cutoff in self._cutoffs if cutoff.settled_ns > proof.at_ns]
         elif not self._put_off(proof.at_ns):
             return
-        self._reloads_count_at = [at for at in self._reloads_count_at if at > proof.at_ns]
+        self._reloads = [cutoff for cutoff in self._reloads if cutoff.settled_ns > proof.at_ns]
 
     def _put_off(self, at_ns: int) -> bool:
         """Discovery could not be reached at this time; whether that has what it has count anew, from its return on.
@@ -191,10 +195,10 @@
         """Something was written at this time that is not whole, or can't be used: another list is needed."""
         self._unread_ns = min(self._unread_ns, at_ns)
 
-    def on_reload(self, at_ns: int) -> None:
-        """SIGHUP: discovery may be elsewhere, and what it has counts `TOLD_RELOAD` later."""
-        if len(self._reloads_count_at) < MOST_RELOADS:
-            self._reloads_count_at.append(at_ns + TOLD_RELOAD)
+    def on_reload(self, from_ns: int, by_ns: int) -> None:
+        """SIGHUP came between these times: discovery may be elsewhere, and what it has counts `TOLD_RELOAD` later."""
+        if len(self._reloads) < MOST_RELOADS:
+            self._reloads.append(Cutoff(from_ns + TOLD_RELOAD, by_ns + TOLD_RELOAD))
 
     def _cut_off(self, cutoff: Cutoff) -> None:
         if len(self._cutoffs) >= MOST_CUTOFFS:
--- a/gateway/calls.py
+++ b/gateway/calls.py
@@ -82,6 +82,7 @@
         self.tries: dict[int, asyncio.Task[None]] = {}   # that have not failed, by number
         self.tried = 0
         self.over = False
+        self.own_trouble = False   # its connection failed for a reason on this machine
         self.begun = now_ns()
         self.connected_at = 0
         self.tried_at = 0    # when its newest try began
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -26,6 +26,7 @@
     RESET_AT_ONCE,
     SECOND_CALL,
     SECOND_CALL_PUSHED,
+    SILENT,
     TRIES,
     TURN,
     UNSURE,
@@ -168,7 +169,7 @@
 
     def _missed(self, at: int) -> None:
         """Discovery could not be reached by a call or a try of this time."""
-        if self._reach.missed():
+        if self._reach.missed(self._address):
             self._extend(Unreachable(at))
             self._lease_renewed()
 
@@ -230,7 +231,8 @@
         """
         now = now_ns()
         self._reloaded_at = now - self.unread_for(now)
-        self.lease.on_reload(self._reloaded_at)
+        self.lease.on_reload(self._reloaded_at, now)
+        self._timers.at(now + TOLD_RELOAD, self._hear_list, None)
         self._timers.at(self._reloaded_at + TOLD_RELOAD, self._hear_list, None)
 
     def move(self, address: tuple[str, int], lines: Lines, pushed: bool,
@@ -247,6 +249,7 @@
             return
         self._lines = lines
         self._address = address
+        self._reach.reached()
         self.authority = f"{address[0]}:{address[1]}"
         self.generation = 0
         self._begin_anew()
@@ -318,8 +321,10 @@
             await self._loop.create_connection(lambda: Try(call), *self._address)
         except OSError as error:
             call.tries.pop(number, None)
-            if error.errno not in OWN and call.transport is None and not call.over:
-                self._missed(now_ns())
+            call.own_trouble = error.errno in OWN
+            if not call.own_trouble and call.transport is None and not call.over:
+                now = now_ns()
+                self._missed(now - self.unread_for(now))   # its refusal may have lain unread as long
             if not call.tries and call.transport is None:
                 self.ended(call, f"no connection: {error}")
         except asyncio.CancelledError:
@@ -442,7 +447,9 @@
         is out of order may also have been left out, so the whole list is asked for.  One that begins with a whole list
         speaks for a service whose versions are counted anew.
         """
-        if change.generation >= self.generation or (change.whole and call is not self._fetch and not call.told):
+        if change.generation >= self.generation:
+            return False
+        if change.whole and call is not self._fetch and not call.told and self._list_at <= call.connected_at:
             return False
         event(log, "older_list", generation=change.generation, known=self.generation)
         if call is self._fetch:
@@ -492,7 +499,8 @@
     def _learn_from_end(self, call: Call, now: int) -> None:
         """What the end of a call tells of the lease, and of whether discovery is there."""
         if call.told:
-            self._lost(call, now - self.unread_for(now))   # its end may have lain unread as long
+            at = now - self.unread_for(now)   # its end may have lain unread as long
+            self._lost(call, at, call.heard if now - call.heard >= SILENT else at)
         elif call.transport is None:
             if call.tries:   # those that have failed have told
                 self._missed(call.tried_at)
@@ -500,9 +508,12 @@
             self._reach.reached()
             self.lease.on_unanswered(call.connected_at)
         elif call.cut_off and not call.status and now - call.connected_at < RESET_AT_ONCE:
-            self._missed(now)
-        else:   # turned away at once: by a queue that is full, or by a service that is down
+            if not self.unread_for(now):   # else it may have waited
+                self._missed(now)
+        else:
             self._reach.reached()
+            if call.status:   # turned away at once: by a queue that is full, maybe
+                self.lease.on_unanswered(call.connected_at)
         self._lease_renewed()
 
     def _lost(self, call: Call | None, at: int, spoke: int = 0) -> None:
@@ -542,7 +553,7 @@
         callers lets them wait before it turns them away.  And one whose answer is spoilt on the way is there to answer.
         """
         now = now_ns()
-        if now < self._unsure_until or self._reach.doubtful:
+        if now < self._unsure_until or (self._reach.doubtful and not call.own_trouble):
             return 0
         if self._pushed and call.transport is None and call.tried > 1:
             return 0   # none has come up: another try asks nothing of the service
--- a/gateway/reachability.py
+++ b/gateway/reachability.py
@@ -10,6 +10,9 @@
 """So many calls in a row that could not reach discovery show that it is down: one may have met a passing fault."""
 
 
+Address = tuple[str, int]
+
+
 class Reachability:
     """Whether discovery is down, by the calls in a row that could not reach it."""
 
@@ -18,23 +21,26 @@
         self.services = services
         self.down = False
         self._missed = 0
+        self._addresses: set[Address] = set()   # of the services that were missed
 
     @property
     def doubtful(self) -> bool:
         """Whether calls have missed it, and more of them would show that it is down."""
-        return 0 < self._missed < self._needed
+        return self._missed > 0 and not self._is_confirmed
 
     @property
-    def _needed(self) -> int:
-        return max(CONFIRMED, self.services)
+    def _is_confirmed(self) -> bool:
+        return self._missed >= CONFIRMED and len(self._addresses) >= self.services
 
-    def missed(self) -> bool:
-        """A call could not reach it; whether it is down by that."""
+    def missed(self, address: Address) -> bool:
+        """A call could not reach the service at this address; whether discovery is down by that."""
         self._missed += 1
-        self.down = self._missed >= self._needed
+        self._addresses.add(address)
+        self.down = self._is_confirmed
         return self.down
 
     def reached(self) -> None:
-        """A call has come up and was not reset at once."""
+        """A call has come up and was not reset at once, or other services are asked from now on."""
         self.down = False
         self._missed = 0
+        self._addresses.clear()
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -53,8 +53,8 @@
 @pytest.mark.parametrize("pushed", [False, True])
 def test_only_proofs_lengthen_it(pushed: bool) -> None:
     lease = a_lease(pushed)
-    for number, shorten in enumerate((lease.on_reached, lease.on_reload, lease.on_unanswered, lease.on_unread,
-                                      lease.on_reload)):
+    for number, shorten in enumerate((lease.on_reached, lambda at: lease.on_reload(at, at), lease.on_unanswered,
+                                      lambda at: lease.on_settings(not pushed, GRACE), lease.on_unread)):
         until = lease.until_ns
         shorten(NOW + number * 500 * MS)
         assert lease.until_ns <= until, shorten
@@ -85,7 +85,7 @@
     lease = a_lease()
     lease.on_watch_lost(NOW + SECOND, NOW + SECOND)
     lease.extend(Unreachable(NOW + 2 * SECOND))
-    lease.on_reload(NOW + 2 * SECOND)
+    lease.on_reload(NOW + 2 * SECOND, NOW + 2 * SECOND)
     lease.extend(Unreachable(NOW + 2 * SECOND + TOLD_RELOAD - MS))
     assert lease.until_ns == NOW + 2 * SECOND + TOLD_RELOAD + SPARE
     lease.extend(Unreachable(NOW + 2 * SECOND + TOLD_RELOAD + SECOND))
@@ -141,15 +141,15 @@
 
 def test_sighup_shortens_it() -> None:
     lease = a_lease()
-    lease.on_reload(NOW)
+    lease.on_reload(NOW, NOW)
     assert lease.until_ns == NOW + TOLD_RELOAD + SPARE
 
 
 @pytest.mark.parametrize("pushed", [False, True])
 def test_only_a_proof_of_its_end_or_later_puts_sighups_time_off(pushed: bool) -> None:
     lease = a_lease(pushed)
-    lease.on_reload(NOW)
-    lease.on_reload(NOW + SECOND)
+    lease.on_reload(NOW, NOW)
+    lease.on_reload(NOW + SECOND, NOW + SECOND)
     early: tuple[Proof, ...] = (Told(NOW + TOLD_RELOAD - MS), Unreachable(NOW + TOLD_RELOAD - MS))
     for proof in early:
         lease.extend(proof)
@@ -165,7 +165,7 @@
 def test_signals_without_end_are_bounded_and_the_first_of_them_holds() -> None:
     lease = a_lease()
     for number in range(10 * MOST_RELOADS):
-        lease.on_reload(NOW + number * MS)
+        lease.on_reload(NOW + number * MS, NOW + number * MS)
     assert lease.until_ns == NOW + TOLD_RELOAD + SPARE
     lease.extend(Told(NOW + TOLD_RELOAD + SECOND))
     assert lease.until_ns == NOW + TOLD_RELOAD + SECOND + TOLD + SPARE
@@ -216,3 +216,19 @@
     lease = ListLease(NOW, True, 100 * MS)
     lease.extend(Unreachable(NOW + 50 * MS))
     assert lease.until_ns == NOW + 50 * MS
+
+
+def test_a_signal_that_came_in_a_stop_is_put_off_only_by_what_is_told_after_the_latest_time_it_may_have_come() -> None:
+    lease = a_lease()
+    lease.on_reload(NOW, NOW + 5 * SECOND)
+    lease.extend(Told(NOW + 5 * SECOND + TOLD_RELOAD - MS))
+    assert lease.until_ns == NOW + TOLD_RELOAD + SPARE
+    lease.extend(Told(NOW + 5 * SECOND + TOLD_RELOAD))
+    assert lease.until_ns == NOW + 5 * SECOND + TOLD_RELOAD + TOLD + SPARE
+
+
+def test_settings_that_change_from_pushed_to_asked_lengthen_nothing() -> None:
+    lease = a_lease(True)
+    lease.on_watch_lost(NOW + SECOND, NOW + SECOND)
+    lease.on_settings(False, GRACE)
+    assert lease.until_ns == NOW + SECOND + SPARE
