--- a/tests/orders/rows.py
+++ b/tests/orders/rows.py
@@ -57,6 +57,12 @@
         (Step(Kind.KILL, span=0.1, gap=1.0), Step(Kind.QUEUED, 2.3, span=2.9, how=Answer("reset")), _four(count=2)),
     "the call at the end of SIGHUP's time is cut short, and a heartbeat comes while the next one waits":
         (Step(Kind.RELOAD, 2.9), _four(Answer("cut", 0.5)), _four(Answer("list", 0.5))),
+    "SIGHUP comes late in a stop, and a watch is lost by the end of its time":
+        (Step(Kind.STOP, span=5.0), Step(Kind.RELOAD, 4.0, moved=True),
+         Step(Kind.QUEUED, 2.3, span=2.9, how=Answer("reset"))),
+    "calls are answered by a reset after 0.5 s, and discovery goes down after the list was over":
+        (_four(Answer("reset", 0.5), 20), Step(Kind.QUEUED, 0.3, span=2.9, how=Answer("reset")),
+         Step(Kind.REFUSED, 7.0, span=5.0)),
 }
 PUSHED: dict[str, Steps] = {
     "started anew, calls are reset from 0.5 s after the start on":
