Lease: only an extension is logged as one; the table of clocks has no clock that is not kept

Read again: lease_extended was written for proofs that were turned down or known already, which would mislead whoever looks for the step that let a late send out; and gateway/clocks.py named the call of a watch as a clock, a reading that was taken back.

--- a/gateway/clocks.py
+++ b/gateway/clocks.py
@@ -4,7 +4,7 @@
 | --- | --- | --- | --- | --- |
 | silent watch, asked or pushed | its last byte | 6 s | RENEW 2.2 + APART 0.25 + a turn, 3 at most | lease ends |
 | failed calls | discovery has it and can be reached | 6 s | CALL 3.5 + rest 0.03, or rest 2 + turn 3 | lease ends |
-| no watch, asked | its end, its call, or the return | 6 s | rest + turn, from the watch's last word on | lease ends |
+| no watch, asked | its end, or the return | 6 s | rest + turn, from the watch's last word on | lease ends |
 | a watch that is open again | the loss or return before it | 6 s | its lines wait for a turn | over if it ends |
 | a watch that speaks | 3 s before its word | 6 s | HEARTBEAT 2 + LATE_BEAT 0.2 | lease ends |
 | a process is new, asked | the same | 6 s, maybe over | FIRST_CALL + turn; no clients for 5 s | no lease before |
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -183,11 +183,13 @@
         return Told(at if self._pushed else at - LINE_WAITS)
 
     def _extend(self, proof: Proof) -> None:
-        """The lease becomes longer, by this proof alone."""
+        """The lease becomes longer by this proof, if it is one of what is not known yet."""
+        before = self.lease.until_ns
         self.lease.extend(proof)
-        now = now_ns()
-        event(log, "lease_extended", proof=type(proof).__name__, of_ago_ns=now - proof.at_ns,
-              left_ns=self.lease.until_ns - now)
+        until = self.lease.until_ns
+        if until > before:
+            now = now_ns()
+            event(log, "lease_extended", proof=type(proof).__name__, of_ago_ns=now - proof.at_ns, left_ns=until - now)
 
     def follow(self, pushed: bool, grace_ns: int) -> None:
         """New settings."""
