--- a/review/1/play.py
+++ b/review/1/play.py
@@ -95,6 +95,7 @@
 
 def main() -> None:
     """Run it, and end all that it started."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(standins.NOT_RUN))   # so that all is ended below
     record = standins.Record(FOLDER)
     record(f"TROUBLE={int(standins.TROUBLE)}")
     started: list[subprocess.Popen[bytes]] = []
--- a/review/standins.py
+++ b/review/standins.py
@@ -282,6 +282,7 @@
 
 def main(folder: Path, play: Any) -> None:
     """Run `play(record)`, which returns an exit code, within 110 s."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))   # so that the play ends what it has started
     record = Record(folder)
     record(f"TROUBLE={int(TROUBLE)}")
     try:
