Review, case 3: pipelined requests are lost after a 431 for a head of 200 bytes

A read that ends within a head counts as part of that head, with the requests before it: above 16 KiB it is rejected, and what follows on the connection is thrown away.

--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,9 +1,9 @@
-"""Clients that say `Connection: close` and read an answer of 5 to 7 MB at 600 kB a second."""
+"""Clients that send several requests at once, in pieces; each that was written must be answered on its connection."""
 
 from __future__ import annotations
 
 import asyncio
-import socket
+import random
 import sys
 import time
 from pathlib import Path
@@ -12,80 +12,108 @@
 import standins
 
 FOLDER = Path(__file__).resolve().parent
-CLIENTS = 160
-SMALLEST, STEP = 5_000_000, 12_500   # bytes of the answers: 5 to 7 MB
-RATE = 600_000                       # bytes a second: an answer is read within 8 to 12 s
-PIECE = 30_000                       # twenty pieces a second
+HOSTS = 6
+CLIENTS = 4
+BURSTS = 15                 # of each client, one after the other
+AT_ONCE = 5                 # requests of a burst: all are written before the first is answered
+WORK_S = 0.100              # how long a host works on a request
+LENGTHS = (10, 1_000, 20_000, 40_000, 60_000)   # of a body; 64 KiB is an ordinary body's most
+PIECE_PAUSE_S = 0.002       # between two pieces; each request's head is cut somewhere
+TIMEOUT_MS = 3000
+BEFORE_S = 0.020            # a request that was written less than this before its connection ended is not counted
 
 
-class LongAnswers(standins.Host):
-    """A host that gives a long answer as fast as it is read; the id tells its length."""
+class Works(standins.Host):
+    """A sound host."""
 
     async def answer(self, message: standins.Message, writer: asyncio.StreamWriter) -> None:
-        """The whole answer, with its length."""
-        left = size_of(message.id)
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % left)
-        try:
-            while left:
-                part = min(left, 65536)
-                writer.write(b"x" * part)
-                left -= part
-                await writer.drain()
-            self.record(f"{self.name} has given all of {message.id}")
-        except OSError as error:
-            self.record(f"{self.name} still gives {message.id}, {left} bytes are left: {error!r}")
-            raise
-
-
-def size_of(rid: str) -> int:
-    """The length of the answer to this request."""
-    return SMALLEST + STEP * int(rid[1:])
-
-
-async def fetch(port: int, rid: str, record: standins.Record) -> str:
-    """One request; returns what became of it."""
-    loop = asyncio.get_running_loop()
-    size = size_of(rid)
-    with socket.socket() as sock:
-        sock.setblocking(False)
-        await loop.sock_connect(sock, ("127.0.0.1", port))
-        await loop.sock_sendall(sock, standins.request("dinle", rid, 800, more="Connection: close\r\n"))
-        began = time.monotonic()
-        head, got, end, longest_pause = b"", 0, "end of stream", 0.0
-        last = began
-        try:
-            while got < size:
-                if not (data := await loop.sock_recv(sock, PIECE if standins.TROUBLE else 262_144)):
-                    break
-                now = time.monotonic()
-                longest_pause, last = max(longest_pause, now - last), now
-                if b"\r\n\r\n" in head:
-                    got += len(data)
-                else:
-                    head += data
-                    got = len(head.partition(b"\r\n\r\n")[2])
-                    if not head.startswith(b"HTTP/1.1 200"):
-                        break
-                if standins.TROUBLE and (ahead := got / RATE - (now - began)) > 0:
-                    await asyncio.sleep(ahead)
-        except OSError as error:
-            end = repr(error)
-        result = "refused or failed" if not head.startswith(b"HTTP/1.1 200") else "whole" if got == size else "cut"
-        record(f"client {rid}: {result}, {got} of {size} bytes in {time.monotonic() - began:.2f} s, "
-               f"longest time between two reads {longest_pause:.2f} s" + (f", then {end}" if result == "cut" else ""))
-        return result
+        """A short answer after WORK_S."""
+        await asyncio.sleep(WORK_S)
+        body = f"{self.name} {message.id}".encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+class Burst:
+    """Requests on one connection: what was written, answered and when the gateway ended the connection."""
+
+    def __init__(self, ids: list[str]) -> None:
+        self.ids = ids
+        self.written: dict[str, float] = {}
+        self.answers: list[str] = []
+        self.ended_at = 0.0
+
+
+async def read_answers(reader: asyncio.StreamReader, burst: Burst) -> None:
+    """Read one answer for each request, in order, or up to the end of the connection."""
+    try:
+        for _ in burst.ids:
+            first, headers = await standins.read_head(reader)
+            body = await standins.read_body(reader, headers)
+            burst.answers.append(f"{first}: {body.decode().strip()}")
+    except (asyncio.IncompleteReadError, OSError):
+        burst.ended_at = time.monotonic()
 
 
 async def play(record: standins.Record) -> int:
-    """Broken if the gateway ends a client's connection in the middle of an answer."""
-    hosts = [await LongAnswers(f"h{number}", record).start() for number in range(8)]
-    discovery = await standins.Discovery(record, hosts).start()
+    """Broken if the gateway ends a connection on which a request was written, without an answer to it."""
+    hosts = [Works(f"h{number}", record) for number in range(HOSTS)]
+    for host in hosts:
+        await host.start()
+    discovery = await standins.Discovery(record, list(hosts)).start()
     gateway = standins.Gateway(record, discovery, standins.settings(), {})
-    results: list[str] = []
+    answers: dict[str, int] = {}
+    lost: list[str] = []
+
+    async def send(ids: list[str], draws: random.Random) -> None:
+        """Send requests on a new connection, all at once, in pieces."""
+        burst = Burst(ids)
+        data = b""
+        ends = []   # of the requests
+        cuts = []   # of the pieces
+        for rid in ids:
+            body = draws.randbytes(draws.choice(LENGTHS))
+            message = standins.request("hizala", rid, TIMEOUT_MS, body, key=f"key-{rid}")
+            cuts.append(len(data) + draws.randrange(1, message.index(b"\r\n\r\n")))
+            data += message
+            ends.append(len(data))
+        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
+        reading = asyncio.get_running_loop().create_task(read_answers(reader, burst))
+        at = 0
+        try:
+            for cut in [*cuts, len(data)]:
+                writer.write(data[at:cut])
+                await writer.drain()
+                at = cut
+                burst.written |= {rid: time.monotonic() for rid, end in zip(ids, ends, strict=True)
+                                  if end <= at and rid not in burst.written}
+                await asyncio.sleep(PIECE_PAUSE_S)
+        except OSError:
+            pass   # the gateway has ended the connection: the rest is not written
+        try:
+            await asyncio.wait_for(reading, TIMEOUT_MS / 1000 + 0.55)
+        except TimeoutError:
+            record(f"no answer and no end of the connection in time: {ids}")
+            lost.extend(ids[len(burst.answers):])
+        writer.close()
+        for rid, what in zip(ids, burst.answers, strict=False):
+            answers[what[:12]] = answers.get(what[:12], 0) + 1
+            record(f"{rid}, written {burst.written.get(rid, 0.0):.3f}, got: {what}")
+        for rid in ids[len(burst.answers):] if burst.ended_at else []:
+            counts = rid in burst.written and burst.written[rid] < burst.ended_at - BEFORE_S
+            record(f"{rid}, written {burst.written.get(rid, 0.0):.3f}, got no answer: the gateway ended the connection "
+                   f"at {burst.ended_at:.3f}{': lost' if counts else ', not counted'}")
+            if counts:
+                lost.append(rid)
 
     async def client(number: int) -> None:
-        await asyncio.sleep(0.04 * number)
-        results.append(await fetch(gateway.port, f"r{number}", record))
+        draws = random.Random(number)
+        for index in range(BURSTS):
+            ids = [f"r{number}-{index}-{part}" for part in range(AT_ONCE)]
+            if standins.TROUBLE:
+                await send(ids, draws)
+            else:   # one request at a time
+                for rid in ids:
+                    await send([rid], draws)
 
     try:
         gateway.start(FOLDER / "gateway.log")
@@ -96,10 +124,10 @@
             return standins.BROKEN
     finally:
         gateway.end()
-    record(f"{results.count('whole')} whole, {results.count('cut')} cut, of {CLIENTS}")
-    if "whole" not in results and "cut" not in results:
-        raise standins.NotRun("no answer began")
-    return standins.BROKEN if "cut" in results else standins.HELD
+    record(f"{CLIENTS * BURSTS * AT_ONCE} requests; answers {answers}; {len(lost)} lost: {' '.join(lost)}")
+    if not answers.get("HTTP/1.1 200"):
+        raise standins.NotRun("no request was served")
+    return standins.BROKEN if lost else standins.HELD
 
 
 standins.main(FOLDER, play)
