--- a/review/3/play.py
+++ b/review/3/play.py
@@ -1,9 +1,10 @@
-"""Clients that send several requests at once, in pieces; each that was written must be answered on its connection."""
+"""Uploads of 5 to 8 MB while 2 hosts of 12 are silent; each must get its final answer in its time and half a second."""
 
 from __future__ import annotations
 
 import asyncio
 import random
+import socket
 import sys
 import time
 from pathlib import Path
@@ -12,122 +13,138 @@
 import standins
 
 FOLDER = Path(__file__).resolve().parent
-HOSTS = 6
-CLIENTS = 4
-BURSTS = 15                 # of each client, one after the other
-AT_ONCE = 5                 # requests of a burst: all are written before the first is answered
-WORK_S = 0.100              # how long a host works on a request
-LENGTHS = (10, 1_000, 20_000, 40_000, 60_000)   # of a body; 64 KiB is an ordinary body's most
-PIECE_PAUSE_S = 0.002       # between two pieces; each request's head is cut somewhere
-TIMEOUT_MS = 3000
-BEFORE_S = 0.020            # a request that was written less than this before its connection ended is not counted
-
-
-class Works(standins.Host):
-    """A sound host."""
-
-    async def answer(self, message: standins.Message, writer: asyncio.StreamWriter) -> None:
-        """A short answer after WORK_S."""
-        await asyncio.sleep(WORK_S)
-        body = f"{self.name} {message.id}".encode()
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
-
-
-class Burst:
-    """Requests on one connection: what was written, answered and when the gateway ended the connection."""
-
-    def __init__(self, ids: list[str]) -> None:
-        self.ids = ids
-        self.written: dict[str, float] = {}
-        self.answers: list[str] = []
-        self.ended_at = 0.0
-
-
-async def read_answers(reader: asyncio.StreamReader, burst: Burst) -> None:
-    """Read one answer for each request, in order, or up to the end of the connection."""
+HOSTS = 12
+SILENT = 2                  # 17%; the page: up to 19%, for 10 to 24 s
+CLIENTS = 8
+UPLOADS_S = 12.0            # how long clients begin uploads
+PAUSE_S = 0.3               # the longest time between an answer and the client's next upload
+TIMEOUT_MS = 1200           # the class's deadline
+LATEST_S = 0.5 + 0.05       # the pages: half a second after its time, and 50 ms for each time limit
+LENGTHS = (5_000_000, 8_000_000)
+WRITE_S = 1.0               # an upload that the client could not write within this is not counted
+GIVE_UP_S = 2.0             # how long a client waits for its answer, then it leaves
+
+
+class CanFallSilent(standins.Host):
+    """A host that reads and answers at once; while it is silent, it neither reads nor answers nor closes anything."""
+
+    def __init__(self, name: str, record: standins.Record) -> None:
+        super().__init__(name, record)
+        self.awake = asyncio.Event()
+        self.awake.set()
+
+    async def start(self) -> CanFallSilent:
+        """Listen on a free port, with a small buffer in front of the socket's own."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 16)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                first, headers = await standins.read_head(reader)
+                await self.awake.wait()
+                message = standins.Message(first, headers, b"")
+                left = int(headers.get("content-length", 0))
+                while left:
+                    part = await reader.read(min(left, 1 << 16))
+                    if not part:
+                        return
+                    left -= len(part)
+                    await self.awake.wait()
+                self.run.append(message.id)
+                self.record(f"{self.name} runs {message.method} {message.target} id={message.id}")
+                await self.answer(message, writer)
+                await self.awake.wait()
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.close()
+
+
+async def answer_of(sock: socket.socket) -> str:
+    """The whole answer on a connection: its first line, or how the connection has ended."""
+    loop = asyncio.get_running_loop()
+    data = b""
     try:
-        for _ in burst.ids:
-            first, headers = await standins.read_head(reader)
-            body = await standins.read_body(reader, headers)
-            burst.answers.append(f"{first}: {body.decode().strip()}")
-    except (asyncio.IncompleteReadError, OSError):
-        burst.ended_at = time.monotonic()
+        while b"\r\n\r\n" not in data:
+            part = await loop.sock_recv(sock, 65536)
+            if not part:
+                return "closed without an answer"
+            data += part
+        head, _, body = data.partition(b"\r\n\r\n")
+        length = next(int(line.split(b":")[1]) for line in head.split(b"\r\n")
+                      if line.lower().startswith(b"content-length:"))
+        while len(body) < length:
+            part = await loop.sock_recv(sock, 65536)
+            if not part:
+                return "closed within an answer"
+            body += part
+        return head.split(b"\r\n")[0].decode()
+    except OSError as error:
+        return f"closed without an answer: {error!r}"
 
 
 async def play(record: standins.Record) -> int:
-    """Broken if the gateway ends a connection on which a request was written, without an answer to it."""
-    hosts = [Works(f"h{number}", record) for number in range(HOSTS)]
+    """Broken if an upload whose last byte was written has no final answer 0.55 s after its time."""
+    hosts = [CanFallSilent(f"h{number}", record) for number in range(HOSTS)]
     for host in hosts:
         await host.start()
     discovery = await standins.Discovery(record, list(hosts)).start()
     gateway = standins.Gateway(record, discovery, standins.settings(), {})
-    answers: dict[str, int] = {}
-    lost: list[str] = []
-
-    async def send(ids: list[str], draws: random.Random) -> None:
-        """Send requests on a new connection, all at once, in pieces."""
-        burst = Burst(ids)
-        data = b""
-        ends = []   # of the requests
-        cuts = []   # of the pieces
-        for rid in ids:
-            body = draws.randbytes(draws.choice(LENGTHS))
-            message = standins.request("hizala", rid, TIMEOUT_MS, body, key=f"key-{rid}")
-            cuts.append(len(data) + draws.randrange(1, message.index(b"\r\n\r\n")))
-            data += message
-            ends.append(len(data))
-        reader, writer = await asyncio.open_connection("127.0.0.1", gateway.port)
-        reading = asyncio.get_running_loop().create_task(read_answers(reader, burst))
-        at = 0
-        try:
-            for cut in [*cuts, len(data)]:
-                writer.write(data[at:cut])
-                await writer.drain()
-                at = cut
-                burst.written |= {rid: time.monotonic() for rid, end in zip(ids, ends, strict=True)
-                                  if end <= at and rid not in burst.written}
-                await asyncio.sleep(PIECE_PAUSE_S)
-        except OSError:
-            pass   # the gateway has ended the connection: the rest is not written
-        try:
-            await asyncio.wait_for(reading, TIMEOUT_MS / 1000 + 0.55)
-        except TimeoutError:
-            record(f"no answer and no end of the connection in time: {ids}")
-            lost.extend(ids[len(burst.answers):])
-        writer.close()
-        for rid, what in zip(ids, burst.answers, strict=False):
-            answers[what[:12]] = answers.get(what[:12], 0) + 1
-            record(f"{rid}, written {burst.written.get(rid, 0.0):.3f}, got: {what}")
-        for rid in ids[len(burst.answers):] if burst.ended_at else []:
-            counts = rid in burst.written and burst.written[rid] < burst.ended_at - BEFORE_S
-            record(f"{rid}, written {burst.written.get(rid, 0.0):.3f}, got no answer: the gateway ended the connection "
-                   f"at {burst.ended_at:.3f}{': lost' if counts else ', not counted'}")
-            if counts:
-                lost.append(rid)
-
-    async def client(number: int) -> None:
+    loop = asyncio.get_running_loop()
+    counted: list[str] = []
+    late: list[str] = []
+    statuses: dict[str, int] = {}
+
+    async def client(number: int, until: float) -> None:
         draws = random.Random(number)
-        for index in range(BURSTS):
-            ids = [f"r{number}-{index}-{part}" for part in range(AT_ONCE)]
-            if standins.TROUBLE:
-                await send(ids, draws)
-            else:   # one request at a time
-                for rid in ids:
-                    await send([rid], draws)
+        index = 0
+        while time.monotonic() < until:
+            await asyncio.sleep(PAUSE_S * draws.random())
+            rid = f"u{number}-{index}"
+            index += 1
+            body = bytes(draws.randrange(*LENGTHS))
+            sock = socket.socket()
+            sock.setblocking(False)
+            await loop.sock_connect(sock, ("127.0.0.1", gateway.port))
+            begun = time.monotonic()
+            await loop.sock_sendall(sock, standins.request("yazi-kaydet", rid, TIMEOUT_MS, body, key=f"key-{rid}"))
+            sent = time.monotonic()   # the last byte is written
+            try:
+                what = await asyncio.wait_for(answer_of(sock), GIVE_UP_S)
+            except TimeoutError:
+                what = f"nothing within {GIVE_UP_S:.0f} s"
+            took = time.monotonic() - sent
+            sock.close()
+            statuses[what] = statuses.get(what, 0) + 1
+            record(f"client {number} wrote {rid}, {len(body)} bytes, in {sent - begun:.3f} s, and got after "
+                   f"{took:.3f} s more: {what}")
+            if sent - begun > WRITE_S:
+                continue
+            counted.append(rid)
+            if took > TIMEOUT_MS / 1000 + LATEST_S or not what.startswith("HTTP/1.1"):
+                late.append(rid)
+                record(f"lost: {rid} had {TIMEOUT_MS} ms; its answer was due {TIMEOUT_MS / 1000 + LATEST_S:.2f} s "
+                       "after its last byte at the latest")
 
     try:
         gateway.start(FOLDER / "gateway.log")
         await gateway.ready()
-        await asyncio.gather(*(client(number) for number in range(CLIENTS)))
+        if standins.TROUBLE:
+            for host in hosts[:SILENT]:
+                host.awake.clear()
+                record(f"{host.name} falls silent")
+        await asyncio.gather(*(client(number, time.monotonic() + UPLOADS_S) for number in range(CLIENTS)))
         if not gateway.alive():
             record("the gateway has ended by itself")
             return standins.BROKEN
     finally:
         gateway.end()
-    record(f"{CLIENTS * BURSTS * AT_ONCE} requests; answers {answers}; {len(lost)} lost: {' '.join(lost)}")
-    if not answers.get("HTTP/1.1 200"):
-        raise standins.NotRun("no request was served")
-    return standins.BROKEN if lost else standins.HELD
+    record(f"{len(counted)} uploads counted; answers {statuses}; {len(late)} lost: {' '.join(late)}")
+    if not any(" 200 " in what for what in statuses):
+        raise standins.NotRun("no upload was served")
+    return standins.BROKEN if late else standins.HELD
 
 
 standins.main(FOLDER, play)
