Tests: two set-ups no longer race with the program's first list

Cause: FakeDiscovery(sends_first_update=True) writes the first list before it queues the call for the test. The test signalled only after that, so the program could have its list, and rightly listen, before SIGTERM came. The program is not at fault.

Change: the fake keeps the list back for good, as the test's name says; the test is stricter, as a program that listens can no longer be excused by a list. The test of a process that takes over has the same shape: the fake gave the new process its list, and the test's own list was never what it waited for. The fake now sends none to the new process, and the test watches for 0.3 s that it does not listen.

--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -120,11 +120,12 @@
 class FakeDiscovery:
     """A discovery service that queues each call in `calls`, with the writer of its response.
 
-    `sends_first_update`: each response starts with an update that reports no change since generation 41.
+    `sends_first_update`: each response starts with an update that reports no change since generation 41.  It is sent
+    before the call is queued: a test that acts on a call before the program has a list must leave it off.
     """
 
     def __init__(self, sends_first_update: bool = False) -> None:
-        self._sends_first_update = sends_first_update
+        self.sends_first_update = sends_first_update
         self.calls: asyncio.Queue[tuple[str, asyncio.StreamWriter]] = asyncio.Queue()
         self.address = ""
 
@@ -138,7 +139,7 @@
         """Handle one call."""
         try:
             first, _, _ = await read_message(reader)
-            if self._sends_first_update:
+            if self.sends_first_update:
                 self.send_head(writer)
                 self.send_update(writer, 41, [])
             self.calls.put_nowait((first, writer))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -255,9 +255,11 @@
         assert (await idle.fetch(READY))[0] == 200
         busy.send(request())
         seen = await host.received.get()
+        discovery.sends_first_update = False
         launching = asyncio.ensure_future(launch(tmp_path / "c", TMPDIR=str(tmp_path)))
-        _, watch = await discovery.calls.get()   # the new process gets a list before it listens
-        assert not launching.done()
+        _, watch = await discovery.calls.get()
+        listening, _ = await asyncio.wait({launching}, timeout=0.3)   # it has no list yet
+        assert not listening
         discovery.send_head(watch)
         discovery.send_update(watch, 42, [host.instance()], reset=True)
         new, new_address = await launching
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -551,7 +551,7 @@
         signals: tuple[signal.Signals, ...], tmp_path: Path, free_port: int) -> None:
     """A program that gets SIGTERM before it accepts clients must exit with status 0, and not listen first."""
     async def scene() -> None:
-        discovery = await FakeDiscovery(sends_first_update=True).start()
+        discovery = await FakeDiscovery().start()   # never sends a list
         config = write_config(tmp_path / "c", discovery)
         address = f"127.0.0.1:{free_port}"
         (tmp_path / "c").write_text(json.dumps({**config, "listen": address}))
