Gateway: a request that offers an upgrade keeps its body and those behind it

Requests written behind one on the same connection were never answered.

Cause: llhttp ends the message at the headers of such a request and stops. server.py took that end for the request's, forwarded it with the empty body, and discarded all that followed. Evidence: fed alone, the parser calls on_message_complete right after on_headers_complete and raises HttpParserUpgrade with the offset of the body. The operators' address does not use bodies; the list service's aiohttp reads 5 bytes of 5 with either offer.

Change: the early end is not taken for the request's. The head is read again by a new parser without its Upgrade header, then what follows: framing, limits, streaming and pipelining take their ordinary paths, and the connection stays open, as for any request whose offer is ignored (RFC 9110, 7.8). CONNECT gets 400 and a close.

--- a/gateway/server.py
+++ b/gateway/server.py
@@ -145,13 +145,10 @@
         return min(filter(None, (accepted_since, self._data_unread_since)), default=0)
 
     def data_received(self, data: memoryview) -> None:
-        parser = self._parser
-        if self.discarding or parser is None:
+        if self.discarding or self._parser is None:
             return
         try:
-            parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._decline_upgrade()
+            self._parse(data)
         except httptools.HttpParserError as error:
             self._error = self._error or BadRequest(400, f"malformed: {error}")
         if self._in_head and self._error is None:
@@ -166,6 +163,31 @@
         elif len(self._exchanges) >= MAX_PIPELINED:
             self.update_reading()
 
+    def _parse(self, data: memoryview) -> None:
+        """Feed the parser; a request that offers an upgrade is an ordinary one (RFC 9110, 7.8).
+
+        The parser ends such a message at its headers and stops.  A new one reads the head again, without the offer, and
+        then what follows: the body and later requests.
+        """
+        while len(data):
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                if self._error is not None or self.discarding:
+                    return
+                data = data[offer.args[0]:]
+                head = self._head_without_offer()
+                self._parser = httptools.HttpRequestParser(self)
+                self._parser.feed_data(head)
+
+    def _head_without_offer(self) -> bytes:
+        """The head of the current request without its `Upgrade` header."""
+        lines = [b"%b %b HTTP/%b\r\n" % (self._parser.get_method(), self._target,
+                                         self._parser.get_http_version().encode())]
+        lines += [b"%b: %b\r\n" % item for item in self._headers if item[0].lower() != b"upgrade"]
+        return b"".join(lines) + b"\r\n"
+
     def _stream_body(self) -> None:
         """Stream a body that is too long to buffer: handle its request now and forward the body as it arrives."""
         if self._error is not None or self.discarding or not self._in_message:
@@ -231,14 +253,6 @@
             if not exchange.started and exchange.request is not None:
                 self.server.core.on_client_half_closed(exchange.request)
 
-    def _decline_upgrade(self) -> None:
-        """Ignore an upgrade: respond as usual, then close, as the parser stops after an upgrade request."""
-        self.discarding = True
-        if self._exchanges and not self._exchanges[-1].started:
-            self._exchanges[-1].close = True
-        else:
-            self._linger()
-
     def _reject(self, error: BadRequest) -> None:
         """Nothing more can be read from this client: send one error response in order, then close."""
         self.discarding = True
@@ -284,6 +298,10 @@
         has_coding = any(name.lower() == b"transfer-encoding" for name, _ in self._headers)
         if self._error is not None:
             return
+        if self._parser.should_upgrade():
+            if self._parser.get_method() == b"CONNECT":
+                self._error = BadRequest(400, "no tunnels")
+            return   # `_parse` has the head read again
         if lengths and (has_coding or len(lengths) > 1):
             self._error = BadRequest(400, "contradictory framing")
         elif has_coding and (self._parser.get_http_version() != "1.1" or any(
@@ -320,7 +338,7 @@
 
     def on_message_complete(self) -> None:
         self._in_message = False
-        if self._error is not None or self.discarding:
+        if self._error is not None or self.discarding or self._parser.should_upgrade():
             return
         self._had_request = True
         close = not self._parser.should_keep_alive()
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -24,6 +24,7 @@
 TEST_TIMEOUT_S = 20.0
 """Time limit of one test: a wait for an event that never happens ends here."""
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+CLOSING_RESPONSE = OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
 SETTINGS: dict[str, Any] = {
     "az": 0, "zones": ["a", "b"], "flavors": ["m"], "replicas-of-me": 1, "round-ns": 5_000_000,
     "discovery": "on_request", "realms": [{"name": "acme", "portion": 1.0}],
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -23,11 +23,10 @@
 from gateway import program
 from gateway.__main__ import start
 from gateway.handover import Handover
-from tests.sockets import OK, SETTINGS, Client, FakeDiscovery, FakeHost, request, run_scenario
+from tests.sockets import CLOSING_RESPONSE, SETTINGS, Client, FakeDiscovery, FakeHost, request, run_scenario
 
 ROOT = Path(__file__).parent.parent
 COMMAND = [sys.executable, "-B", "-m", "gateway"]
-CLOSING_RESPONSE = OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
 READY = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
