Gateway: an upload whose host takes no data is answered in its client's time

Cause: once more than 64 KiB of a body has come, core.py takes the deadline away until the parser has read the last byte. While the host takes no data, reading pauses, so a last byte that was written long ago stays in the kernels' buffers. Evidence: of 8,000,000 bytes written within 22 ms 3,984,853 were read, 707,054 lay unread in the gateway's socket and 3,308,093 in the client's, the same 0.5, 1.5 and 10 s later. Ruled out: that the timers of a body read to its end do not fire.

Change: last_byte.py gives the earliest time at which the client may have written the last byte; a client's timeout after it core.py ends the attempt and the request. A body that is read to its end has only the rest of that time: the same fault where a host was slow, or came up late.

--- a/gateway/body.py
+++ b/gateway/body.py
@@ -54,6 +54,11 @@
     """A callback that does nothing."""
 
 
+def _not_complete(now: int) -> int:
+    """The default of `Body.may_be_complete_since`: nothing of the body waits unread."""
+    return now
+
+
 class Body:
     """A streamed body.
 
@@ -68,6 +73,8 @@
         self.complete = False
         self.dropped = False   # further data is discarded
         self.on_committed: Callable[[], None] = _no_op
+        # The earliest time at which the client may have written the last byte, given the current time, ns.
+        self.may_be_complete_since: Callable[[int], int] = _not_complete
         self._sink: Sink | None = None
         self._update_reading = update_reading   # called when reading from the client may pause or resume
 
@@ -120,6 +127,7 @@
         if not self.dropped:
             self.dropped = True
             self.on_committed = _no_op
+            self.may_be_complete_since = _not_complete   # breaks a reference cycle with the client's connection
             self.replay_buffer.clear()
             self._sink = None
             self._update_reading()
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -284,8 +284,7 @@
             exchange.refused(0)
             return None
         now = now_ns()
-        unread_ns = now - parsed.unread_since - READ_DELAY_TOLERANCE_NS if parsed.unread_since else 0
-        time_left = parsed.ttl_ns - max(self._read_delay_ns(now), unread_ns)
+        time_left = parsed.ttl_ns - self._delay_since(parsed.unread_since or now, now)
         if time_left < MIN_TIME_LEFT_NS:   # after a stall, or if the client's timeout is as short as that
             event(log, "refused", request=parsed.id, why="its time ran out while the loop was held up")
             exchange.refused(0)
@@ -321,23 +320,53 @@
         """How long bytes that are read now may have waited unread, less a tolerance; counts against the timeout."""
         return self.stall_detector.read_delay_ns(now) if self.stall_detector is not None else 0
 
+    def _delay_since(self, unread_since: int, now: int) -> int:
+        """How long bytes that are read now have waited unread, less a tolerance, if they may have since that time."""
+        return max(self._read_delay_ns(now), now - unread_since - READ_DELAY_TOLERANCE_NS)
+
     def _schedule_fallback(self, request: Request, now: int) -> None:
         request.fallback_at = now + max(request.ttl - FALLBACK_MARGIN_NS, request.ttl * 3 // 4)
         self._timers.at(request.fallback_at, self._send_fallback, request)
 
     def _on_body_committed(self, request: Request) -> None:
-        """The start of a streamed body has been discarded: no retry, and no deadline until the body is complete."""
+        """The start of a streamed body has been discarded: no retry.
+
+        There is no deadline until the body is complete, but `_check_unread_body` limits the time in which it may be
+        complete and not be read.
+        """
         request.deadline = request.fallback_at = NO_DEADLINE_NS
         for attempt in request.in_flight.values():
             attempt.expires_at = NO_DEADLINE_NS
             self._queue_event(self._module.on_body_streaming, request, request.rid, attempt.number)
+        self._check_unread_body(request)
+
+    def _check_unread_body(self, request: Request) -> None:
+        """End a request whose host has not taken the body within the client's timeout after its last byte.
+
+        While the host takes no data, the body is not read to its end; the client waits for its response all the same.
+        """
+        body = request.body
+        if request.exchange is None or request.streamed or body is None or body.complete:
+            return
+        now = now_ns()
+        since = body.may_be_complete_since(now)
+        due = since + max(request.ttl - RESPONSE_MARGIN_NS, request.ttl // 2)
+        if now < due:
+            self._timers.at(due, self._check_unread_body, request)
+            return
+        event(log, "body_unread", request=request.request_id, for_ns=now - since)
+        for attempt in list(request.in_flight.values()):
+            self.upstream.expire(attempt)
+        if request.exchange is not None and not request.streamed:
+            self._fail_request(request)
 
     def on_body_complete(self, request: Request) -> None:
         """The last byte of a streamed body has arrived: the client's timeout starts."""
         if request.exchange is None or request.streamed:
             return
         now = now_ns()
-        request.ttl = max(MIN_TIME_LEFT_NS, request.ttl - self._read_delay_ns(now))
+        since = request.body.may_be_complete_since(now) if request.body is not None else now
+        request.ttl = max(MIN_TIME_LEFT_NS, request.ttl - self._delay_since(since, now))
         ttl = max(request.ttl - RESPONSE_MARGIN_NS, request.ttl // 2)
         request.deadline = now + ttl
         self._schedule_fallback(request, now)
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -19,8 +19,9 @@
 from .core import Core
 from .events import event
 from .exchange import Exchange
+from .last_byte import LastByteEstimate
 from .stats import Stats
-from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events
+from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events, unread_bytes
 from .timers import Timers, now_ns
 from .upstream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, STREAM_STALL_TIMEOUT_NS
 
@@ -87,6 +88,7 @@
         self._last_unsent_bytes = 0   # size of the write buffer at the last sweep while writing was blocked
         self._streamed_exchange: Exchange | None = None   # of a request whose body is being streamed
         self._streamed_body: Body | None = None
+        self._last_byte: LastByteEstimate | None = None   # of the streamed body
         self._expects_continue = False   # the client waits for a 100 response before it sends its body
         self._reset_message()
 
@@ -95,7 +97,7 @@
         self._received = 0
         self._body_started_at = 0   # when the body began, plus the time that reading was paused
         self._paused_at = 0
-        self._streamed_exchange = self._streamed_body = None
+        self._streamed_exchange = self._streamed_body = self._last_byte = None
         self._expects_continue = False
         self._target = b""
         self._headers: list[Header] = []
@@ -138,6 +140,17 @@
         self.data_received(self._read_buffer[:nbytes])
         if nbytes < self._read_size:   # no older data is left
             self._data_unread_since = 0
+        else:
+            self._note_unread(now_ns())
+
+    def _note_unread(self, since: int) -> None:
+        """Data may be waiting unread, and may have been since this time."""
+        if not self._data_unread_since:
+            self._data_unread_since = since
+        if self._last_byte is not None and self.transport is not None and not self.transport.is_closing():
+            unread = unread_bytes(self.transport)
+            if unread:   # 0 with data at hand would be no answer to rely on
+                self._last_byte.observe(now_ns(), self._received, unread)
 
     def request_unread_since(self) -> int:
         """Since when the request that has just been read may have been waiting; 0: it has not."""
@@ -194,6 +207,9 @@
             return
         if self._streamed_body is None:
             self._streamed_body = Body(self._length, bytes(self._body), self.update_reading)
+            estimate = self._last_byte = LastByteEstimate(self._length)
+            self._streamed_body.may_be_complete_since = \
+                lambda now: max(self._data_unread_since or now, estimate.not_before)
             self._body.clear()
             self._streamed_exchange = Exchange(self, not self._parser.should_keep_alive(),
                                                self._parser.get_http_version() == "1.0")
@@ -232,8 +248,8 @@
             return False
         polled_at, self._polled_at = self._polled_at, now_ns()
         events = pending_events(transport)
-        if events and not self._data_unread_since:
-            self._data_unread_since = polled_at
+        if events:
+            self._note_unread(polled_at)
         if events & CONNECTION_LOST_EVENTS:
             transport.abort()
         elif events & PEER_CLOSED_EVENTS:
--- a/gateway/syscalls.py
+++ b/gateway/syscalls.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import os
 import select
+import struct
+import termios
 import time
 
 from .timers import now_ns
@@ -48,6 +51,15 @@
     return sum(events for _, events in poll.poll(0))
 
 
+def unread_bytes(transport: asyncio.BaseTransport) -> int | None:
+    """Return how many bytes of an open connection wait unread in the kernel (FIONREAD, tcp(7)); None if unknown."""
+    try:
+        answer = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, bytes(4))
+    except OSError:
+        return None
+    return int(struct.unpack("i", answer)[0])
+
+
 MAX_READ_BYTES = 256 * 1024
 """Maximum that one call reads ahead of the event loop."""
 
