Gateway: one client connection has a module of its own

Moved as it was; the logger keeps its name, as operators read it. Tests import from the new place, their assertions are the same.

--- /dev/null
+++ b/gateway/client_connection.py
@@ -0,0 +1,537 @@
+"""One client connection: parsing of its requests, backpressure, timeouts and closes.
+
+server.py handles the requests, checks.py validates them, exchange.py writes responses.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import struct
+from collections import deque
+from typing import TYPE_CHECKING, Any, cast
+
+import httptools
+
+from bridgesaddle.api import MS, SECOND
+
+from .attempt import Header
+from .body import READ_BUFFER_BYTES, Body
+from .checks import BadRequest
+from .events import event
+from .exchange import Exchange
+from .last_byte import LastByteEstimate
+from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events, unread_bytes
+from .timers import now_ns
+from .upstream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, STREAM_STALL_TIMEOUT_NS
+
+if TYPE_CHECKING:
+    from .server import Server
+
+log = logging.getLogger("gateway.server")   # the name is part of the interface to operators, as metrics' names are
+
+MAX_HEAD_BYTES = 16 * 1024
+"""Longest head of a request."""
+MAX_HEADERS = 100
+MAX_PIPELINED = 8
+"""Maximum number of open requests of one connection; reading pauses above it."""
+HEAD_TIMEOUT_NS = 2400 * MS
+"""Longest time for a head to arrive; for the first one it runs from the connect.
+
+A client may take 2 s to send a head.  A client that does not send a complete one must get an error or a close within
+3 s.
+"""
+BODY_GRACE_NS = 1600 * MS
+"""Time from the start of a body after which its minimum rate applies."""
+MIN_BODY_RATE_BYTES_PER_S = 32 * 1024
+"""Minimum average rate of a body after the grace period: half the rate of a slow client."""
+IDLE_TIMEOUT_NS = 90 * SECOND
+DRAIN_IDLE_TIMEOUT_NS = 2 * SECOND
+"""Idle timeout while draining; with a shorter one, closes would cross requests in transit."""
+NEW_CONNECTION_GRACE_NS = 100 * MS
+"""A connection that was opened or used less than this ago is not closed in favour of a new one."""
+LINGER_TIMEOUT_NS = 1 * SECOND
+"""How long incoming data is discarded after an error response, so that the client can read the response."""
+
+
+class ClientConnection(asyncio.BufferedProtocol):
+    """One client connection."""
+
+    # Shared by all connections: data is parsed before the next read.
+    _read_buffer = memoryview(bytearray(READ_BUFFER_BYTES))
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._exchanges: deque[Exchange] = deque()
+        self._error: BadRequest | None = None
+        self.discarding = False   # further data is ignored: after an error, or as the last request has been read
+        self._eof_read = False   # the client has shut down its sending side, and all data is read
+        self.half_closed = False   # the same, whether or not all data is read
+        self._paused = False
+        self._read_size = READ_BUFFER_BYTES   # size of the buffer of the current read
+        self.state_since = now_ns()   # when the current phase (head, idle or linger) began
+        self.unread_since = 0   # earliest arrival of its first request, which may precede the accept
+        self._polled_at = 0   # last check for unread data while reading is paused
+        self._data_unread_since = 0   # earliest arrival of the data that is read next
+        self._had_request = False   # a complete request has been received
+        self.lingering = False
+        self.refuses_requests = False   # without an attempt: above the connection limit, or the process is exiting
+        self._write_blocked_since = 0
+        self._last_unsent_bytes = 0   # size of the write buffer at the last sweep while writing was blocked
+        self._streamed_exchange: Exchange | None = None   # of a request whose body is being streamed
+        self._streamed_body: Body | None = None
+        self._last_byte: LastByteEstimate | None = None   # of the streamed body
+        self._expects_continue = False   # the client waits for a 100 response before it sends its body
+        self._reset_message()
+
+    def _reset_message(self) -> None:
+        self._length: int | None = None
+        self._received = 0
+        self._body_started_at = 0   # when the body began, plus the time that reading was paused
+        self._paused_at = 0
+        self._streamed_exchange = self._streamed_body = self._last_byte = None
+        self._expects_continue = False
+        self._target = b""
+        self._headers: list[Header] = []
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._in_head = False
+        self._in_message = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)   # uvloop has a class of its own
+        self.transport.set_write_buffer_limits(high=READ_BUFFER_BYTES // 2)
+        self.unread_since = self.server.core.accept_delayed_since()
+        self.server.add_connection(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The client has gone: drop its requests."""
+        self.server.remove_connection(self)
+        self._parser = None   # breaks a reference cycle, which would last until a garbage collection
+        exchanges = list(self._exchanges)
+        self._exchanges.clear()
+        for exchange in exchanges:
+            self._drop_exchange(exchange)
+
+    def _drop_exchange(self, exchange: Exchange) -> None:
+        """Drop a request whose client has gone."""
+        if not exchange.done:
+            self.server.release_id(exchange.id)
+            event(log, "client_left", request=exchange.id, ended_sending=self.half_closed,
+                  waited_ns=now_ns() - exchange.created_at, written=bool(exchange.started))
+            if exchange.request is not None:
+                self.server.core.on_client_disconnected(exchange.request)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        piece = self._read_buffer[:self.server.stream_budget.read_bytes()] if self._streamed_body is not None \
+            else self._read_buffer
+        self._read_size = len(piece)
+        return piece
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(self._read_buffer[:nbytes])
+        if nbytes < self._read_size:   # no older data is left
+            self._data_unread_since = 0
+        else:
+            self._note_unread(now_ns())
+
+    def _note_unread(self, since: int) -> None:
+        """Data may be waiting unread, and may have been since this time."""
+        if not self._data_unread_since:
+            self._data_unread_since = since
+        if self._last_byte is not None and self.transport is not None and not self.transport.is_closing():
+            unread = unread_bytes(self.transport)
+            if unread:   # 0 with data at hand would be no answer to rely on
+                self._last_byte.observe(now_ns(), self._received, unread)
+
+    def request_unread_since(self) -> int:
+        """Since when the request that has just been read may have been waiting; 0: it has not."""
+        accepted_since, self.unread_since = self.unread_since, 0
+        return min(filter(None, (accepted_since, self._data_unread_since)), default=0)
+
+    def data_received(self, data: memoryview) -> None:
+        if self.discarding or self._parser is None:
+            return
+        try:
+            self._parse(data)
+        except httptools.HttpParserError as error:
+            self._error = self._error or BadRequest(400, f"malformed: {error}")
+        if self._in_head and self._error is None:
+            self._head_bytes += len(data)   # limits a head that never ends, which yields no header
+            if self._head_bytes > 2 * MAX_HEAD_BYTES:
+                self._error = BadRequest(431, "a head too long")
+        if self._error is not None and not self.discarding:
+            self._reject(self._error)
+        if self._streamed_body is not None or len(self._body) > MAX_BUFFERED_BODY_BYTES:
+            self._stream_body()
+            self.update_reading()
+        elif len(self._exchanges) >= MAX_PIPELINED:
+            self.update_reading()
+
+    def _parse(self, data: memoryview) -> None:
+        """Feed the parser; a request that offers an upgrade is an ordinary one (RFC 9110, 7.8).
+
+        The parser ends such a message at its headers and stops.  A new one reads the head again, without the offer, and
+        then what follows: the body and later requests.
+        """
+        while len(data):
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                if self._error is not None or self.discarding:
+                    return
+                data = data[offer.args[0]:]
+                head = self._head_without_offer()
+                self._parser = httptools.HttpRequestParser(self)
+                self._parser.feed_data(head)
+
+    def _head_without_offer(self) -> bytes:
+        """The head of the current request without its `Upgrade` header."""
+        lines = [b"%b %b HTTP/%b\r\n" % (self._parser.get_method(), self._target,
+                                         self._parser.get_http_version().encode())]
+        lines += [b"%b: %b\r\n" % item for item in self._headers if item[0].lower() != b"upgrade"]
+        return b"".join(lines) + b"\r\n"
+
+    def _stream_body(self) -> None:
+        """Stream a body that is too long to buffer: handle its request now and forward the body as it arrives."""
+        if self._error is not None or self.discarding or not self._in_message:
+            return
+        if self._streamed_body is None:
+            self._streamed_body = Body(self._length, bytes(self._body), self.update_reading)
+            estimate = self._last_byte = LastByteEstimate(self._length)
+            self._streamed_body.may_be_complete_since = \
+                lambda now: max(self._data_unread_since or now, estimate.not_before)
+            self._body.clear()
+            self._streamed_exchange = Exchange(self, not self._parser.should_keep_alive(),
+                                               self._parser.get_http_version() == "1.0")
+            self._exchanges.append(self._streamed_exchange)
+            self._handle_request(self._streamed_exchange, b"", self._streamed_body)
+            if self._streamed_exchange is not None and self._streamed_exchange.request is None:
+                self._streamed_body.drop()   # already answered: the rest of the body is discarded
+        elif self._body:
+            data = bytes(self._body)
+            self._body.clear()
+            self._streamed_body.feed(data)
+
+    def update_reading(self) -> None:
+        """Backpressure: pause or resume reading."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        should_pause = bool(len(self._exchanges) >= MAX_PIPELINED or self._write_blocked_since
+                            or (self._streamed_body is not None and self._streamed_body.full)) and not self.lingering
+        if should_pause and not self._paused:
+            self._paused_at = self._polled_at = now_ns()
+            transport.pause_reading()
+            self.server.on_reading_paused(self)
+        elif self._paused and not should_pause:
+            self._body_started_at += now_ns() - self._paused_at
+            transport.resume_reading()
+        self._paused = should_pause
+
+    def poll_unread(self) -> bool:
+        """Poll for the client's end of stream while reading is paused.  False once no further check is needed.
+
+        Also records since when bytes have been waiting, as that time counts against their requests' timeouts.
+        """
+        transport = self.transport
+        if not self._paused or self.half_closed or transport is None or transport.is_closing():
+            return False
+        polled_at, self._polled_at = self._polled_at, now_ns()
+        events = pending_events(transport)
+        if events:
+            self._note_unread(polled_at)
+        if events & CONNECTION_LOST_EVENTS:
+            transport.abort()
+        elif events & PEER_CLOSED_EVENTS:
+            self._on_half_close()
+        return not events & PEER_CLOSED_EVENTS
+
+    def is_half_closed(self) -> bool:
+        """Whether the client has shut down its sending side, even if unread data remains."""
+        transport = self.transport
+        return self.half_closed or transport is None or transport.is_closing() \
+            or bool(pending_events(transport) & PEER_CLOSED_EVENTS)
+
+    def _on_half_close(self) -> None:
+        """The client has shut down its sending side: attempts in flight may still answer it, no new one is made."""
+        self.half_closed = True
+        for exchange in list(self._exchanges):
+            if not exchange.started and exchange.request is not None:
+                self.server.core.on_client_half_closed(exchange.request)
+
+    def _reject(self, error: BadRequest) -> None:
+        """Nothing more can be read from this client: send one error response in order, then close."""
+        self.discarding = True
+        event(log, "client_rejected", status=error.status, why=error.why)
+        exchange, self._streamed_exchange, self._streamed_body = self._streamed_exchange, None, None
+        if exchange is None or exchange.done:   # a response may precede the end of its request
+            exchange = Exchange(self, close=True)
+            self._exchanges.append(exchange)
+        elif exchange.started:
+            self.reset()
+            return
+        else:   # answered here: the module and the host must stop working on it
+            if exchange.request is not None:
+                self.server.core.on_client_disconnected(exchange.request)
+            exchange.close = True
+        exchange.respond(error.status, [], error.why.encode() + b"\n")
+
+    # Parser callbacks.  They only record errors, as the parser would swallow an exception raised in a callback.
+
+    def on_message_begin(self) -> None:
+        self._reset_message()
+        self._in_head = self._in_message = True
+        if self._had_request:   # the first request's time runs from the connect
+            self.state_since = now_ns()
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+        self._count_head_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._count_head_bytes(len(name) + len(value) + 4)
+        if self._error is None and self._in_head:   # no trailers: they could contain another id or length
+            self._headers.append((name, value.strip(b" \t")))   # the parser keeps trailing whitespace
+
+    def _count_head_bytes(self, size: int) -> None:
+        self._head_bytes += size
+        if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADERS:
+            self._error = self._error or BadRequest(431, "a head too long")
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
+        has_coding = any(name.lower() == b"transfer-encoding" for name, _ in self._headers)
+        if self._error is not None:
+            return
+        if self._parser.should_upgrade():
+            if self._parser.get_method() == b"CONNECT":
+                self._error = BadRequest(400, "no tunnels")
+            return   # `_parse` has the head read again
+        if lengths and (has_coding or len(lengths) > 1):
+            self._error = BadRequest(400, "contradictory framing")
+        elif has_coding and (self._parser.get_http_version() != "1.1" or any(
+                name.lower() == b"transfer-encoding" and value.strip().lower() != b"chunked"
+                for name, value in self._headers)):
+            self._error = BadRequest(400, "no known transfer coding")
+        elif lengths and not lengths[0].isdigit():
+            self._error = BadRequest(400, "no usable length")
+        elif lengths and int(lengths[0][:20]) > MAX_BODY_BYTES:
+            self._error = BadRequest(413, "a body too long")
+        else:
+            self._length = int(lengths[0]) if lengths else None
+            self._body_started_at = now_ns()
+            if (lengths or has_coding) and any(name.lower() == b"expect" and value.lower() == b"100-continue"
+                                               for name, value in self._headers):
+                self._expects_continue = True
+                self._send_continue()
+
+    def _send_continue(self) -> None:
+        """Send 100 Continue, once all earlier responses have been sent."""
+        if self._expects_continue and not self._exchanges and self.transport is not None:
+            self._expects_continue = False
+            self._body_started_at = now_ns()
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self._expects_continue = False
+        self._received += len(body)
+        if self._error is None and self._received > MAX_BODY_BYTES:
+            self._error = BadRequest(413, "a body too long")
+            self._body.clear()
+        elif self._error is None and not self.discarding:
+            self._body += body
+
+    def on_message_complete(self) -> None:
+        self._in_message = False
+        if self._error is not None or self.discarding or self._parser.should_upgrade():
+            return
+        self._had_request = True
+        close = not self._parser.should_keep_alive()
+        if self._streamed_body is not None:
+            self.discarding = self.discarding or close
+            self._finish_streamed_body()
+            return
+        self.discarding = close
+        exchange = Exchange(self, close, self._parser.get_http_version() == "1.0")
+        self._exchanges.append(exchange)
+        self._handle_request(exchange, bytes(self._body))
+        self._reset_message()
+
+    def _handle_request(self, exchange: Exchange, body: bytes, streamed_body: Body | None = None) -> None:
+        try:
+            self.server.handle_request(exchange, self._parser.get_method(), self._target, self._headers, body,
+                                       streamed_body)
+        except Exception:   # the parser would report it as a framing error
+            log.exception("handling a request failed")
+            if not exchange.started:
+                exchange.failed()
+
+    def _finish_streamed_body(self) -> None:
+        streamed_body, exchange, data = self._streamed_body, self._streamed_exchange, bytes(self._body)
+        self._reset_message()
+        if streamed_body is not None and exchange is not None:
+            if data:
+                streamed_body.feed(data)
+            if not streamed_body.dropped:
+                streamed_body.finish()
+                if exchange.request is not None:
+                    self.server.core.on_body_complete(exchange.request)
+
+    # Responses and connection lifetime.
+
+    def eof_received(self) -> bool:
+        """The client has shut down its sending side; it may still read, so open requests are answered."""
+        if self._streamed_exchange is not None and self._in_message and not self.discarding:
+            self._reject(BadRequest(400, "the body was cut short"))
+        self._eof_read = self.discarding = True
+        self._on_half_close()
+        return bool(self._exchanges)
+
+    def flush(self) -> None:
+        """Write the responses that are ready, in the order of the requests."""
+        transport = self.transport
+        while self._exchanges and self._exchanges[0].started:
+            exchange = self._exchanges[0]
+            data = b"".join(exchange.unsent_parts)
+            exchange.unsent_parts.clear()
+            if data and transport is not None and not transport.is_closing():
+                transport.write(data)
+            if not exchange.done:
+                break
+            self._exchanges.popleft()
+            self.state_since = now_ns()
+            if exchange.close and transport is not None and not transport.is_closing():
+                self._linger()
+        if transport is None or transport.is_closing():
+            return
+        for exchange in self._exchanges:
+            if exchange.source is not None:   # a streamed response waits for its turn and for its client
+                exchange.source.pause(bool(self._write_blocked_since) or exchange is not self._exchanges[0])
+        if self._eof_read and not self._exchanges:
+            transport.close()
+            return
+        if self._expects_continue:
+            self._send_continue()
+        if self._paused:
+            self.update_reading()
+
+    def on_response_begin(self, exchange: Exchange) -> None:
+        """A response begins: decide whether the connection closes after it."""
+        if exchange is self._streamed_exchange and self._expects_continue:
+            exchange.close = True   # the client may or may not send its body now: framing is lost
+        if exchange.close and exchange is not self._streamed_exchange:
+            self.discarding = True
+
+    def reset(self) -> None:
+        """Reset the connection in the middle of a response.
+
+        Where the close marks the end of the body, an orderly close would make the response look complete.
+        """
+        if self.transport is not None:
+            sock = self.transport.get_extra_info("socket")
+            if sock is not None and not self.transport.is_closing():
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            self.transport.abort()
+
+    def _linger(self) -> None:
+        """Shut down sending and discard incoming data before the close.
+
+        A close over unread data would be a reset, which could destroy the response.  Requests that arrive from here
+        on are not handled, as they can't be answered any more.
+        """
+        self.discarding = self.lingering = True
+        self.state_since = now_ns()
+        self.server.on_linger(self)
+        if self.transport is not None and self.transport.can_write_eof():
+            self.transport.write_eof()
+
+    def pause_writing(self) -> None:
+        """The client does not read its responses: stop reading from it too."""
+        self._write_blocked_since = now_ns()
+        self._last_unsent_bytes = 0
+        for exchange in self._exchanges:
+            if exchange.source is not None:
+                exchange.source.pause(True)
+        self.update_reading()
+
+    def resume_writing(self) -> None:
+        self._write_blocked_since = 0
+        self.flush()
+
+    def is_last(self, exchange: Exchange) -> bool:
+        """Whether no data has arrived after this request, so that its response may close the connection."""
+        return not self._in_message and bool(self._exchanges) and self._exchanges[-1] is exchange
+
+    @property
+    def streams(self) -> int:
+        """Number of messages that are being streamed on this connection."""
+        return (self._streamed_body is not None) + sum(item.source is not None for item in self._exchanges)
+
+    def between_requests(self) -> bool:
+        """Whether no request is open or partly received."""
+        return not self._exchanges and not self._in_message
+
+    def sweep(self, now: int) -> None:
+        """Close the connection if the client sends or reads too slowly or is idle for too long."""
+        if self.transport is None:
+            return
+        waited = now - self.state_since
+        unsent_bytes = self.transport.get_write_buffer_size() if self._write_blocked_since else 0
+        if unsent_bytes != self._last_unsent_bytes:
+            self._last_unsent_bytes = unsent_bytes
+            if self._write_blocked_since:
+                self._write_blocked_since = now   # it reads, if slowly
+        if self._write_blocked_since and now - self._write_blocked_since > STREAM_STALL_TIMEOUT_NS:
+            self.transport.abort()
+        elif self.lingering:
+            if waited > LINGER_TIMEOUT_NS:
+                self.transport.abort() if self._write_blocked_since else self.transport.close()
+        elif self._in_message and not self.discarding and self._too_slow(now):
+            self._reject(BadRequest(408, "the request was too slow"))
+        elif self.between_requests() and waited > self._idle_timeout() and not self.close_if_idle():
+            self.server.sweep_after(NEW_CONNECTION_GRACE_NS, self)   # again: its unread bytes may be no request
+
+    def _too_slow(self, now: int) -> bool:
+        """Whether the head exceeds its timeout or the body its minimum rate, not counting pauses of reading."""
+        if self._in_head or not self._body_started_at:
+            return now - self.state_since > HEAD_TIMEOUT_NS
+        if self._paused or self._expects_continue:
+            return False
+        return self._received < MIN_BODY_RATE_BYTES_PER_S * (now - self._body_started_at - BODY_GRACE_NS) / SECOND
+
+    def _idle_timeout(self) -> int:
+        """How long the connection may stay between requests."""
+        if not self._had_request:
+            return HEAD_TIMEOUT_NS
+        return DRAIN_IDLE_TIMEOUT_NS if self.server.draining else IDLE_TIMEOUT_NS
+
+    def close_if_idle(self) -> bool:
+        """Close the connection between requests; False if a request is open or its bytes wait unread.
+
+        A close over unread bytes would be a reset, which could also destroy the response before them.
+        """
+        transport = self.transport
+        if transport is None or transport.is_closing() or self.lingering or not self.between_requests() \
+                or pending_events(transport):
+            return False
+        event(log, "client_closed", why="idle too long, drained, or to make room", idle_ns=now_ns() - self.state_since)
+        self._linger()
+        return True
+
+    def shut_down(self) -> None:
+        """The process is about to exit: close between requests; requests in transit are refused without an attempt."""
+        self.refuses_requests = True
+        # A new connection is about to send a request.
+        if self._had_request or now_ns() - self.state_since > NEW_CONNECTION_GRACE_NS:
+            self.close_if_idle()
+
+    def close_now(self) -> None:
+        """Close immediately, as its descriptor is needed."""
+        if self.transport is not None:
+            self.transport.close()
--- a/gateway/exchange.py
+++ b/gateway/exchange.py
@@ -13,7 +13,7 @@
 from .upstream import HOP_BY_HOP, LOAD_HEADER
 
 if TYPE_CHECKING:
-    from .server import ClientConnection
+    from .client_connection import ClientConnection
 
 log = logging.getLogger("gateway.exchange")
 
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -13,8 +13,8 @@
 from bridgesaddle.api import SECOND, Outcome
 from gateway import upstream
 from gateway.body import MAX_REPLAY_BYTES, Body, StreamBudget
+from gateway.client_connection import HEAD_TIMEOUT_NS
 from gateway.program import SWEEP_INTERVAL_NS
-from gateway.server import HEAD_TIMEOUT_NS
 from gateway.timers import now_ns
 from tests.sockets import (
     CLOSING_RESPONSE,
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -12,8 +12,8 @@
 from bridgesaddle.api import MS
 from gateway import program
 from gateway.admin import MAX_OPERATOR_CONNECTIONS
+from gateway.client_connection import DRAIN_IDLE_TIMEOUT_NS
 from gateway.handover import Handover
-from gateway.server import DRAIN_IDLE_TIMEOUT_NS
 from gateway.timers import now_ns
 from tests.sockets import FakeHost, GatewayHarness, request, run_scenario, wait_until
 from tests.test_server import Fails, Refuses
--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -14,8 +14,8 @@
 
 from bridgesaddle.api import MS, SECOND, HostState, ListKind, Outcome
 from gateway.attempt import Attempt
+from gateway.client_connection import DRAIN_IDLE_TIMEOUT_NS, HEAD_TIMEOUT_NS, IDLE_TIMEOUT_NS, LINGER_TIMEOUT_NS
 from gateway.handover import Handover
-from gateway.server import DRAIN_IDLE_TIMEOUT_NS, HEAD_TIMEOUT_NS, IDLE_TIMEOUT_NS, LINGER_TIMEOUT_NS
 from gateway.timers import now_ns
 from tests.sockets import (
     OK,
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -12,7 +12,7 @@
 import pytest
 
 from bridgesaddle.api import MS, SECOND, Actions, HostId, Outcome, Settings
-from gateway.server import IDLE_TIMEOUT_NS, ClientConnection
+from gateway.client_connection import IDLE_TIMEOUT_NS, ClientConnection
 from gateway.syscalls import pending_events
 from gateway.timers import now_ns
 from gateway.upstream import Connection
--- a/tests/test_time_left.py
+++ b/tests/test_time_left.py
@@ -20,7 +20,7 @@
 import pytest
 
 from bridgesaddle.api import MS, SECOND
-from gateway.server import MAX_PIPELINED
+from gateway.client_connection import MAX_PIPELINED
 from gateway.timers import now_ns
 from gateway.upstream import SEND_CHECK_VALID_NS
 from tests.sockets import FakeHost, GatewayHarness, request, run_scenario
