Gateway: an upload read after a stop of the process has the rest of its time

Cause: (1) data that a full read leaves unread was dated by that read; after a stop it may have been there since the stop began, and the loop's own correction ends after some iterations, long before a body of some MB is read. (2) The wait before the first bytes was deducted when the request was handled, and again, as part of the wait of the body, when it was complete.

Change: what is left unread is dated back by the read delay; once its body is streamed a request has its client's whole timeout, which runs from the last byte.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -136,7 +136,8 @@
         if nbytes < self._read_size:   # no older data is left
             self._data_unread_since = 0
         else:
-            self._note_unread(now_ns())
+            now = now_ns()
+            self._note_unread(now - self.server.core.read_delay_ns(now))
 
     def _note_unread(self, since: int) -> None:
         """Data may be waiting unread, and may have been since this time."""
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -131,7 +131,7 @@
     """An open request; it stays in the table until its attempts have ended too."""
 
     __slots__ = ("attempts", "body", "client_half_closed", "deadline", "exchange", "fallback_at", "in_flight",
-                 "max_attempts", "payload", "request_id", "rid", "streamed", "ttl")
+                 "max_attempts", "payload", "request_id", "rid", "streamed", "timeout", "ttl")
 
     def __init__(self, rid: int, request_id: bytes, exchange: Exchange, payload: tuple[bytes, bytes], deadline: int,
                  max_attempts: int) -> None:
@@ -146,6 +146,7 @@
         self.client_half_closed = False   # it may have gone
         self.body: Body | None = None   # set if it is streamed
         self.streamed = False   # a streamed response has begun
+        self.timeout = 0   # its client's timeout, ns
         self.ttl = 0   # its client's timeout when it was read, less the read delay, ns; `deadline` is a margin earlier
         self.fallback_at = 0   # when it is failed if the module has not decided
 
@@ -293,7 +294,7 @@
         ttl = max(time_left - RESPONSE_MARGIN_NS, time_left // 2)
         request = Request(rid, parsed.id, exchange, parsed.payload, now + ttl, self._settings.limits.max_attempts)
         self._requests[rid] = request
-        request.ttl = time_left
+        request.timeout, request.ttl = parsed.ttl_ns, time_left
         request.body = parsed.body
         if request.body is not None:
             request.body.on_committed = lambda: self._on_body_committed(request)
@@ -316,13 +317,13 @@
             exchange.refused(0)
             self._end_request(request)
 
-    def _read_delay_ns(self, now: int) -> int:
+    def read_delay_ns(self, now: int) -> int:
         """How long bytes that are read now may have waited unread, less a tolerance; counts against the timeout."""
         return self.stall_detector.read_delay_ns(now) if self.stall_detector is not None else 0
 
     def _delay_since(self, unread_since: int, now: int) -> int:
         """How long bytes that are read now have waited unread, less a tolerance, if they may have since that time."""
-        return max(self._read_delay_ns(now), now - unread_since - READ_DELAY_TOLERANCE_NS)
+        return max(self.read_delay_ns(now), now - unread_since - READ_DELAY_TOLERANCE_NS)
 
     def _schedule_fallback(self, request: Request, now: int) -> None:
         request.fallback_at = now + max(request.ttl - FALLBACK_MARGIN_NS, request.ttl * 3 // 4)
@@ -335,6 +336,7 @@
         complete and not be read.
         """
         request.deadline = request.fallback_at = NO_DEADLINE_NS
+        request.ttl = request.timeout   # runs from the last byte: a read delay of the first ones does not count
         for attempt in request.in_flight.values():
             attempt.expires_at = NO_DEADLINE_NS
             self._queue_event(self._module.on_body_streaming, request, request.rid, attempt.number)
--- a/tests/test_unread_body.py
+++ b/tests/test_unread_body.py
@@ -5,13 +5,17 @@
 import asyncio
 import socket
 import time
+from typing import ClassVar
 
 import pytest
 
-from bridgesaddle.api import SECOND
+from bridgesaddle.api import MS, SECOND
+from gateway.body import READ_BUFFER_BYTES
 from gateway.last_byte import MAX_CLIENT_SEND_BUFFER_BYTES, LastByteEstimate
-from tests.sockets import OK, FakeHost, GatewayHarness, request, run_scenario
+from gateway.stalls import READ_DELAY_TOLERANCE_NS
+from tests.sockets import OK, FakeHost, GatewayHarness, request, run_scenario, wait_until
 from tests.test_long import chunks
+from tests.test_server import Sends
 
 TIMEOUT_S = 0.6
 LATEST_S = TIMEOUT_S + 0.5 + 0.05
@@ -66,6 +70,38 @@
     run_scenario(scenario)
 
 
+class RecordsTimeLeft(Sends):
+    """Records the time left, ns, of each body that is complete."""
+
+    times_left: ClassVar[list[int]] = []
+
+    def on_body_complete(self, now_ns: int, rid: int, ttl_ns: int) -> None:
+        self.times_left.append(ttl_ns)
+
+
+def test_upload_read_after_a_stop_of_the_process_has_only_the_rest_of_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a timeout that starts with the last read, or counts the wait before the first one twice."""
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            await harness.start(FakeHost(), module_factory=RecordsTimeLeft)
+            client, core, server = await harness.client(), harness.gateway.core, harness.gateway.server
+            await wait_until(lambda: server.connection_count == 1)
+            (connection,) = server._connections
+            data = request("once", body=bytes(150_000), X_Timeout_Ms=str(int(TIMEOUT_S * 1000)))
+            size, parts_left = READ_BUFFER_BYTES, [3, 2, 1]
+            monkeypatch.setattr(core, "read_delay_ns", lambda now: 200 * MS if parts_left else 0)   # not at the last
+            for part in (data[:size], data[size:2 * size], data[2 * size:]):   # as the event loop does
+                parts_left.pop()
+                connection.get_buffer(-1)[:len(part)] = part
+                connection.buffer_updated(len(part))
+                await wait_until(lambda: all(item.connected() for request in core.open_requests()
+                                             for item in request.in_flight.values()))
+            (time_left,) = RecordsTimeLeft.times_left
+            client.writer.close()
+            assert TIMEOUT_S * SECOND - 250 * MS < time_left < TIMEOUT_S * SECOND - 200 * MS + READ_DELAY_TOLERANCE_NS
+    run_scenario(scenario)
+
+
 def test_upload_that_its_client_has_not_finished_has_no_time_limit() -> None:
     """Guards against a time limit that also ends requests whose last byte has not been written."""
     async def scenario() -> None:
