Gateway: a read that fills the buffer counts as unread data only if some is left

A client that writes pieces of 64 KiB with waits between them would have had its upload ended, or its next request refused, by these waits.

Change: pending_events, as for the reads that are paused, tells whether anything is left.

Test: test_read_that_fills_the_buffer_and_leaves_nothing_unread_starts_no_time_limit failed before and passes.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -133,8 +133,9 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         self.data_received(self._read_buffer[:nbytes])
-        if nbytes < self._read_size:   # no older data is left
-            self._data_unread_since = 0
+        transport = self.transport
+        if nbytes < self._read_size or transport is None or transport.is_closing() or not pending_events(transport):
+            self._data_unread_since = 0   # no older data is left
         else:
             now = now_ns()
             self._note_unread(now - self.server.core.read_delay_ns(now))
--- a/tests/test_unread_body.py
+++ b/tests/test_unread_body.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+from select import POLLIN
 from typing import ClassVar
 
 import pytest
@@ -89,6 +90,7 @@
             (connection,) = server._connections
             data = request("once", body=bytes(150_000), X_Timeout_Ms=str(int(TIMEOUT_S * 1000)))
             size, parts_left = READ_BUFFER_BYTES, [3, 2, 1]
+            monkeypatch.setattr("gateway.client_connection.pending_events", lambda _: POLLIN)   # each full read
             monkeypatch.setattr(core, "read_delay_ns", lambda now: 200 * MS if parts_left else 0)   # not at the last
             for part in (data[:size], data[size:2 * size], data[2 * size:]):   # as the event loop does
                 parts_left.pop()
@@ -102,6 +104,22 @@
     run_scenario(scenario)
 
 
+def test_read_that_fills_the_buffer_and_leaves_nothing_unread_starts_no_time_limit() -> None:
+    """Guards against the wait between a client's pieces, each as long as the buffer, counting against its request."""
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            await harness.start(FakeHost())
+            client, server = await harness.client(), harness.gateway.server
+            await wait_until(lambda: server.connection_count == 1)
+            (connection,) = server._connections
+            buffer = connection.get_buffer(-1)
+            buffer[:] = request("once", body=BODY)[:len(buffer)]
+            connection.buffer_updated(len(buffer))
+            assert connection.request_unread_since() == 0
+            client.writer.close()
+    run_scenario(scenario)
+
+
 def test_upload_that_its_client_has_not_finished_has_no_time_limit() -> None:
     """Guards against a time limit that also ends requests whose last byte has not been written."""
     async def scenario() -> None:
