Gateway: resident memory, its peak and its limit are logged and in the metrics

Sampled every 0.5 s and for each reading of the metrics, from /proc/self/status; the peak is the kernel's, so what comes and goes between two samples shows too.

--- a/gateway/program.py
+++ b/gateway/program.py
@@ -27,6 +27,7 @@
 from .discovery import Discovery
 from .handover import Handover, host_and_port
 from .listener import Listener, listen_with_retry
+from .memory import MemoryMonitor
 from .peers import PeerSocket
 from .server import Server
 from .stalls import StallDetector
@@ -189,6 +190,7 @@
         self.handover = handover or Handover(config.listen)
         max_clients, max_hosts = self._connection_limits()
         self.stream_budget = StreamBudget(self._stream_budget_bytes())
+        self.memory = MemoryMonitor(config.memory_bytes)
         self.core = Core(settings, config.seed, self.timers, config.columns, make)
         self.stall_detector = self.core.stall_detector = StallDetector(loop, self.timers)
         self.upstream = Upstream(loop, self.timers, max_hosts,
@@ -327,8 +329,13 @@
         self._start_times.update_offsets()
         self.upstream.sweep(now)
         self.server.sweep(now)
+        self._sample_memory()
         self.admin.sweep(now)
 
+    def _sample_memory(self) -> None:
+        self.memory.sample(connections=self.server.connection_count, open_requests=self.server.pending,
+                           streams=self.stream_budget.streams)
+
     def _ready(self) -> OperatorResponse:
         ready = self._listener is not None and self.server.ready
         return (200, b"ready\n") if ready else (503, b"not ready\n")
@@ -344,12 +351,15 @@
 
     def _vars(self) -> OperatorResponse:
         last_received_ns = self.discovery.last_received_ns
+        self._sample_memory()
         return 200, self.stats.render({
             "pending": self.server.pending, "members": self.upstream.host_count,
             "members_unavailable": self.core.members_unavailable(),
             "discovery_heard_ms_ago": (now_ns() - last_received_ns) // MS if last_received_ns else -1,
             "list_generation": self.discovery.generation,
             "list_lease_ms": (self.discovery.lease.until_ns - now_ns()) // MS,
+            "memory_resident_kb": self.memory.resident_bytes >> 10, "memory_peak_kb": self.memory.peak_bytes >> 10,
+            "memory_limit_kb": self.memory.limit_bytes >> 10,
             "hold_ups": self.stall_detector.count, "hold_ups_ms": self.stall_detector.total_ns // MS,
             "hold_up_longest_ms": self.stall_detector.longest_ns // MS})
 
