Gateway: a connection is read in turns that are limited by work, not by bytes

Cause: one read of 64 KiB, of which the event loop makes up to 32 in a row, was parsed in one go: 10,924 callbacks for chunks of one byte, 16,359 for empty fields (a head that was refused was parsed on), some 400 requests where 8 are allowed. All other connections, timers and discovery waited.

The parser stops at the first byte of a head over its limit.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -24,6 +24,7 @@
 from .last_byte import LastByteEstimate
 from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events, unread_bytes
 from .timers import now_ns
+from .turns import REQUEST_WORK, TurnSize
 from .upstream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, STREAM_STALL_TIMEOUT_NS
 
 if TYPE_CHECKING:
@@ -71,6 +72,8 @@
         self._eof_read = False   # the client has shut down its sending side, and all data is read
         self.half_closed = False   # the same, whether or not all data is read
         self._paused = False
+        self._turn = TurnSize()
+        self._waits_for_turn = False
         self._read_size = READ_BUFFER_BYTES   # size of the buffer of the current read
         self.state_since = now_ns()   # when the current phase (head, idle or linger) began
         self.unread_since = 0   # earliest arrival of its first request, which may precede the accept
@@ -126,19 +129,30 @@
                 self.server.core.on_client_disconnected(exchange.request)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        piece = self._read_buffer[:self.server.stream_budget.read_bytes()] if self._streamed_body is not None \
-            else self._read_buffer
-        self._read_size = len(piece)
-        return piece
+        size = self._turn.bytes
+        if self._streamed_body is not None:
+            size = min(size, self.server.stream_budget.read_bytes())
+        self._read_size = size
+        return self._read_buffer[:size]
 
     def buffer_updated(self, nbytes: int) -> None:
         self.data_received(self._read_buffer[:nbytes])
+        is_full = nbytes >= self._read_size
         transport = self.transport
-        if nbytes < self._read_size or transport is None or transport.is_closing() or not pending_events(transport):
+        if not is_full or transport is None or transport.is_closing() or not pending_events(transport):
             self._data_unread_since = 0   # no older data is left
         else:
             now = now_ns()
             self._note_unread(now - self.server.core.read_delay_ns(now))
+        if self._turn.end(is_full) and not self._waits_for_turn:
+            self._waits_for_turn = True
+            self.server.turns.wait(self)
+            self.update_reading()
+
+    def on_turn(self) -> None:
+        """The next turn has come: read on."""
+        self._waits_for_turn = False
+        self.update_reading()
 
     def _note_unread(self, since: int) -> None:
         """Data may be waiting unread, and may have been since this time."""
@@ -224,8 +238,9 @@
         transport = self.transport
         if transport is None or transport.is_closing():
             return
-        should_pause = bool(len(self._exchanges) >= MAX_PIPELINED or self._write_blocked_since
-                            or (self._streamed_body is not None and self._streamed_body.full)) and not self.lingering
+        should_pause = self._waits_for_turn or (not self.lingering and bool(
+            len(self._exchanges) >= MAX_PIPELINED or self._write_blocked_since
+            or (self._streamed_body is not None and self._streamed_body.full)))
         if should_pause and not self._paused:
             self._paused_at = self._polled_at = now_ns()
             transport.pause_reading()
@@ -283,7 +298,7 @@
             exchange.close = True
         exchange.respond(error.status, [], error.why.encode() + b"\n")
 
-    # Parser callbacks.  They only record errors, as the parser would swallow an exception raised in a callback.
+    # Parser callbacks.  They record errors; an exception only stops the parser, which raises an error of its own.
 
     def on_message_begin(self) -> None:
         self._reset_message()
@@ -293,9 +308,11 @@
 
     def on_url(self, url: bytes) -> None:
         self._target += url
+        self._turn.work += 1
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._turn.work += 1
         self._count_head_bytes(len(name) + len(value) + 4)
         if self._error is None and self._in_head:   # no trailers: they could contain another id or length
             self._headers.append((name, value.strip(b" \t")))   # the parser keeps trailing whitespace
@@ -304,6 +321,7 @@
         self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADERS:
             self._error = self._error or BadRequest(431, "a head too long")
+            raise self._error   # stops the parser
 
     def on_headers_complete(self) -> None:
         self._in_head = False
@@ -342,6 +360,7 @@
 
     def on_body(self, body: bytes) -> None:
         self._expects_continue = False
+        self._turn.work += 1
         self._received += len(body)
         if self._error is None and self._received > MAX_BODY_BYTES:
             self._error = BadRequest(413, "a body too long")
@@ -351,6 +370,7 @@
 
     def on_message_complete(self) -> None:
         self._in_message = False
+        self._turn.work += REQUEST_WORK
         if self._error is not None or self.discarding or self._parser.should_upgrade():
             return
         self._had_request = True
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -36,6 +36,7 @@
 from .syscalls import process_started_ns
 from .timers import Timers, now_ns
 from .transient import DISK_ERRNOS, LOCAL_ERRNOS, backoff_delays, retry_before_loop
+from .turns import TurnScheduler
 from .update_parser import ListedHost, UpdateParser
 from .upstream import Upstream
 
@@ -215,7 +216,8 @@
         self.discovery.gateway_count = settings.replicas
         self.discovery.read_delay_ns = self.stall_detector.read_delay_ns
         self.stall_detector.on_stall.append(self.discovery.on_stall)
-        self.server = Server(self.core, self.timers, settings, max_clients, self.stats, self.stream_budget)
+        self.server = Server(self.core, self.timers, settings, max_clients, self.stats, self.stream_budget,
+                             TurnScheduler(loop))
         self.admin = OperatorServer({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars,
                                      ("POST", "/_lameduck/on"): lambda: self._set_draining(True),
                                      ("POST", "/_lameduck/off"): lambda: self._set_draining(False)})
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -15,6 +15,7 @@
 from .exchange import Exchange
 from .stats import Stats
 from .timers import Timers, now_ns
+from .turns import TurnScheduler
 
 log = logging.getLogger("gateway.server")
 
@@ -33,7 +34,7 @@
     """All client connections."""
 
     def __init__(self, core: Core, timers: Timers, settings: Settings, max_connections: int, stats: Stats,
-                 stream_budget: StreamBudget) -> None:
+                 stream_budget: StreamBudget, turns: TurnScheduler) -> None:
         self.core = core
         self._timers = timers
         self._paused: dict[ClientConnection, None] = {}   # reading is paused
@@ -41,6 +42,7 @@
         self._lingering: dict[ClientConnection, None] = {}
         self._shutting_down = False
         self.stream_budget = stream_budget
+        self.turns = turns
         self.stats = stats
         self.on_settings(settings)
         self.max_connections = max_connections
