Gateway: all that clients and hosts make it hold is charged to one memory budget

Cause: what the process may hold was not one sum. Streams were counted every 0.5 s at a guessed size, against 40 MB for a process that takes 26 and a quarter of the limit at least; bodies up to 64 KiB, heads, requests, responses that wait and connections were not counted at all. Buffers of a body took twice its size, as one read could follow the last that fitted. A refused connection was kept for a second by its timer.

Change: MemoryBudget has the sum; each connection and request has an account in it, updated where bytes change hands. The budget is half of what the limit leaves above the memory measured before the process serves (the other half is what the allocator keeps and copies of one call). A body reserves its memory when its head has been read; without room the message that has had no data for longest (0.5 s at least) is refused, else the new one, 503, unread. Large messages leave a quarter to small ones. From half of the budget on a connection has one open request.

Operators read held, budget, refused and closed in the metrics.

--- a/gateway/body.py
+++ b/gateway/body.py
@@ -10,32 +10,6 @@
 Bodies up to this length are never streamed, as `upstream.MAX_BUFFERED_BODY_BYTES` is equal."""
 
 
-READ_BUFFER_BYTES = 64 * 1024
-"""Most bytes that are read in one call."""
-MIN_READ_BYTES = 8 * 1024
-"""Lower bound of the bytes read in one call when many streams share the budget."""
-BUFFERS_PER_STREAM = 4
-"""Most read buffers that one stream uses: one being read, one to be written, and a copy of each in transit."""
-
-
-class StreamBudget:
-    """The memory that all streamed messages may use together."""
-
-    def __init__(self, max_bytes: int) -> None:
-        self.max_bytes = max_bytes
-        self.streams = 0
-
-    def read_bytes(self) -> int:
-        """Most bytes that a stream may read in one call; decreases with the number of streams."""
-        return max(MIN_READ_BYTES,
-                   min(READ_BUFFER_BYTES, self.max_bytes // (BUFFERS_PER_STREAM * max(1, self.streams))))
-
-    @property
-    def full(self) -> bool:
-        """Whether the budget does not allow one more streamed body, including its replay buffer."""
-        return (MAX_REPLAY_BYTES + BUFFERS_PER_STREAM * MIN_READ_BYTES) * (self.streams + 1) > self.max_bytes
-
-
 class Sink(Protocol):
     """Destination of a body: a connection to a host."""
 
--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -17,11 +17,12 @@
 from bridgesaddle.api import MS, SECOND
 
 from .attempt import Header
-from .body import READ_BUFFER_BYTES, Body
+from .body import MAX_REPLAY_BYTES, Body
 from .checks import BadRequest
 from .events import event
 from .exchange import Exchange
 from .last_byte import LastByteEstimate
+from .memory import CONNECTION_BYTES, FIELD_BYTES, MIN_READ_BYTES, READ_BUFFER_BYTES, Account
 from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events, unread_bytes
 from .timers import now_ns
 from .turns import REQUEST_WORK, TurnSize
@@ -56,6 +57,10 @@
 """How long incoming data is discarded after an error response, so that the client can read the response."""
 
 
+class StopParsing(Exception):
+    """Raised in a callback of the parser to stop it; not the error itself, which would refer back to its connection."""
+
+
 class ClientConnection(asyncio.BufferedProtocol):
     """One client connection."""
 
@@ -88,11 +93,15 @@
         self._streamed_body: Body | None = None
         self._last_byte: LastByteEstimate | None = None   # of the streamed body
         self._expects_continue = False   # the client waits for a 100 response before it sends its body
+        self.last_data_at = self.state_since   # when data last arrived
+        self.message_bytes = 0   # what the message that is being received costs, with the memory that it will need
+        self._account = Account(server.memory_budget, CONNECTION_BYTES)
         self._reset_message()
 
     def _reset_message(self) -> None:
         self._length: int | None = None
         self._received = 0
+        self._expected_bytes = 0   # memory that the body will need
         self._body_started_at = 0   # when the body began, plus the time that reading was paused
         self._paused_at = 0
         self._streamed_exchange = self._streamed_body = self._last_byte = None
@@ -106,13 +115,15 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)   # uvloop has a class of its own
-        self.transport.set_write_buffer_limits(high=READ_BUFFER_BYTES // 2)
+        self.transport.set_write_buffer_limits(high=self.server.write_buffer_bytes)
         self.unread_since = self.server.core.accept_delayed_since()
         self.server.add_connection(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone: drop its requests."""
         self.server.remove_connection(self)
+        self._account.update(0)
+        self.transport = None
         self._parser = None   # breaks a reference cycle, which would last until a garbage collection
         exchanges = list(self._exchanges)
         self._exchanges.clear()
@@ -131,12 +142,16 @@
     def get_buffer(self, sizehint: int) -> memoryview:
         size = self._turn.bytes
         if self._streamed_body is not None:
-            size = min(size, self.server.stream_budget.read_bytes())
+            size = min(size, self.server.memory_budget.read_bytes())
+        elif self._body:   # no more than it takes to stream the body
+            size = min(size, max(MIN_READ_BYTES, MAX_BUFFERED_BODY_BYTES + 1 - len(self._body)))
         self._read_size = size
         return self._read_buffer[:size]
 
     def buffer_updated(self, nbytes: int) -> None:
+        self.last_data_at = now_ns()
         self.data_received(self._read_buffer[:nbytes])
+        self._note_memory()
         is_full = nbytes >= self._read_size
         transport = self.transport
         if not is_full or transport is None or transport.is_closing() or not pending_events(transport):
@@ -149,6 +164,44 @@
             self.server.turns.wait(self)
             self.update_reading()
 
+    @property
+    def receiving(self) -> bool:
+        """Whether the connection is in the middle of a message that can still be completed."""
+        return self._in_message and not self.discarding
+
+    @property
+    def reading_paused(self) -> bool:
+        """Whether the connection is not read now, so that missing data is no sign of a stalled client."""
+        return self._paused
+
+    def _update_account(self) -> None:
+        """Charge what is held of the message that is being received and of responses that wait for the client."""
+        self.message_bytes = self._head_bytes + len(self._headers) * FIELD_BYTES \
+            + max(self._expected_bytes, len(self._body))
+        body, transport = self._streamed_body, self.transport
+        if body is not None and not body.dropped:
+            self.message_bytes += MAX_REPLAY_BYTES if not body.committed else 0
+        unsent_bytes = sum(len(part) for exchange in self._exchanges for part in exchange.unsent_parts)
+        if transport is not None:
+            unsent_bytes += transport.get_write_buffer_size()
+        self._account.update(CONNECTION_BYTES + self.message_bytes + unsent_bytes)
+
+    def _note_memory(self) -> None:
+        """Data has arrived: charge it; a message for which there is no room is refused."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._update_account()
+        self.server.note_receiving(self)
+        if self.receiving and not self.server.keep_room(self):
+            self.refuse_message()
+
+    def refuse_message(self) -> None:
+        """Refuse the message that is being received, as its memory is needed: it can't run without its last byte."""
+        if self._streamed_body is not None:
+            self._streamed_body.drop()
+        self._reject(BadRequest(503, "no memory for this message"))
+        self._update_account()
+
     def on_turn(self) -> None:
         """The next turn has come: read on."""
         self._waits_for_turn = False
@@ -184,7 +237,7 @@
         if self._streamed_body is not None or len(self._body) > MAX_BUFFERED_BODY_BYTES:
             self._stream_body()
             self.update_reading()
-        elif len(self._exchanges) >= MAX_PIPELINED:
+        elif len(self._exchanges) >= self._max_pipelined:
             self.update_reading()
 
     def _parse(self, data: memoryview) -> None:
@@ -222,6 +275,7 @@
             self._streamed_body.may_be_complete_since = \
                 lambda now: max(self._data_unread_since or now, estimate.not_before)
             self._body.clear()
+            self._expected_bytes = 0
             self._streamed_exchange = Exchange(self, not self._parser.should_keep_alive(),
                                                self._parser.get_http_version() == "1.0")
             self._exchanges.append(self._streamed_exchange)
@@ -233,13 +287,19 @@
             self._body.clear()
             self._streamed_body.feed(data)
 
+    @property
+    def _max_pipelined(self) -> int:
+        """Most open requests before reading pauses."""
+        return 1 if self.server.memory_budget.tight else MAX_PIPELINED
+
     def update_reading(self) -> None:
         """Backpressure: pause or resume reading."""
         transport = self.transport
         if transport is None or transport.is_closing():
             return
+        complete_requests = len(self._exchanges) - (self._streamed_exchange is not None)
         should_pause = self._waits_for_turn or (not self.lingering and bool(
-            len(self._exchanges) >= MAX_PIPELINED or self._write_blocked_since
+            complete_requests >= self._max_pipelined or self._write_blocked_since
             or (self._streamed_body is not None and self._streamed_body.full)))
         if should_pause and not self._paused:
             self._paused_at = self._polled_at = now_ns()
@@ -284,6 +344,9 @@
     def _reject(self, error: BadRequest) -> None:
         """Nothing more can be read from this client: send one error response in order, then close."""
         self.discarding = True
+        self._headers.clear()
+        self._body.clear()
+        self._head_bytes = self._expected_bytes = 0
         event(log, "client_rejected", status=error.status, why=error.why)
         exchange, self._streamed_exchange, self._streamed_body = self._streamed_exchange, None, None
         if exchange is None or exchange.done:   # a response may precede the end of its request
@@ -321,7 +384,7 @@
         self._head_bytes += size
         if self._head_bytes > MAX_HEAD_BYTES or len(self._headers) >= MAX_HEADERS:
             self._error = self._error or BadRequest(431, "a head too long")
-            raise self._error   # stops the parser
+            raise StopParsing
 
     def on_headers_complete(self) -> None:
         self._in_head = False
@@ -346,11 +409,19 @@
         else:
             self._length = int(lengths[0]) if lengths else None
             self._body_started_at = now_ns()
+            if not self._reserve_body(has_coding):
+                self._error = BadRequest(503, "no memory for its body")
+                return
             if (lengths or has_coding) and any(name.lower() == b"expect" and value.lower() == b"100-continue"
                                                for name, value in self._headers):
                 self._expects_continue = True
                 self._send_continue()
 
+    def _reserve_body(self, chunked: bool) -> bool:
+        """Reserve the memory for the body whose head has been read; false if there is none."""
+        self._expected_bytes = MIN_READ_BYTES if chunked else min(self._length or 0, MAX_BUFFERED_BODY_BYTES)
+        return not self._expected_bytes or self.server.make_room(self._expected_bytes, self)
+
     def _send_continue(self) -> None:
         """Send 100 Continue, once all earlier responses have been sent."""
         if self._expects_continue and not self._exchanges and self.transport is not None:
@@ -417,6 +488,11 @@
 
     def flush(self) -> None:
         """Write the responses that are ready, in the order of the requests."""
+        self._write_responses()
+        if self._write_blocked_since or self._exchanges:
+            self._update_account()
+
+    def _write_responses(self) -> None:
         transport = self.transport
         while self._exchanges and self._exchanges[0].started:
             exchange = self._exchanges[0]
@@ -477,6 +553,7 @@
         """The client does not read its responses: stop reading from it too."""
         self._write_blocked_since = now_ns()
         self._last_unsent_bytes = 0
+        self._update_account()
         for exchange in self._exchanges:
             if exchange.source is not None:
                 exchange.source.pause(True)
@@ -485,6 +562,7 @@
     def resume_writing(self) -> None:
         self._write_blocked_since = 0
         self.flush()
+        self._update_account()
 
     def is_last(self, exchange: Exchange) -> bool:
         """Whether no data has arrived after this request, so that its response may close the connection."""
@@ -509,6 +587,7 @@
             self._last_unsent_bytes = unsent_bytes
             if self._write_blocked_since:
                 self._write_blocked_since = now   # it reads, if slowly
+                self._update_account()
         if self._write_blocked_since and now - self._write_blocked_since > STREAM_STALL_TIMEOUT_NS:
             self.transport.abort()
         elif self.lingering:
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -15,6 +15,7 @@
 
 import json
 import logging
+import sys
 from collections import deque
 from collections.abc import Callable, Sequence
 from math import isnan
@@ -27,6 +28,7 @@
 from .body import Body
 from .discovery import Discovery
 from .events import event
+from .memory import REQUEST_BYTES, Account, MemoryBudget
 from .peers import PeerSocket
 from .stalls import READ_DELAY_TOLERANCE_NS, StallDetector
 from .timers import NO_DEADLINE_NS, Timer, Timers, now_ns
@@ -130,12 +132,12 @@
 class Request:
     """An open request; it stays in the table until its attempts have ended too."""
 
-    __slots__ = ("attempts", "body", "client_half_closed", "deadline", "exchange", "fallback_at",
+    __slots__ = ("account", "attempts", "body", "client_half_closed", "deadline", "exchange", "fallback_at",
                  "fallback_timer", "in_flight", "max_attempts", "payload", "request_id", "rid", "streamed", "timeout",
                  "ttl")
 
     def __init__(self, rid: int, request_id: bytes, exchange: Exchange, payload: tuple[bytes, bytes], deadline: int,
-                 max_attempts: int) -> None:
+                 max_attempts: int, account: Account) -> None:
         self.rid = rid
         self.request_id = request_id   # the client's id of the request, for the log
         self.max_attempts = max_attempts   # the limit that was in effect when it arrived
@@ -151,6 +153,7 @@
         self.ttl = 0   # its client's timeout when it was read, less the read delay, ns; `deadline` is a margin earlier
         self.fallback_at = 0   # when it is failed if the module has not decided
         self.fallback_timer: Timer | None = None
+        self.account = account   # of the memory that it holds
 
 
 Event = tuple[Callable[..., None], Request | None, tuple[Any, ...]]
@@ -183,8 +186,9 @@
     """
 
     def __init__(self, settings: Settings, salt: int, timers: Timers, columns: Sequence[str] = (),
-                 make_module: DecisionsFactory = Balancer) -> None:
+                 make_module: DecisionsFactory = Balancer, memory_budget: MemoryBudget | None = None) -> None:
         self._timers = timers
+        self.memory_budget = memory_budget or MemoryBudget(sys.maxsize)
         self._events: deque[Event] = deque()
         self._list_events: deque[Event] = deque()   # handled before `_events`
         self._may_send = True   # whether the list's lease is valid, as last reported to the module
@@ -287,6 +291,10 @@
             event(log, "refused", request=parsed.id, why="too many are open")
             exchange.refused(0)
             return None
+        if not self.memory_budget.admits(REQUEST_BYTES):
+            event(log, "refused", request=parsed.id, why="no memory for another request")
+            exchange.refused(0)
+            return None
         now = now_ns()
         time_left = parsed.ttl_ns - self._delay_since(parsed.unread_since or now, now)
         if time_left < MIN_TIME_LEFT_NS:   # after a stall, or if the client's timeout is as short as that
@@ -295,7 +303,9 @@
             return None
         self._last_rid = rid = (self._last_rid + 1) & 0xFFFFFFFF
         ttl = max(time_left - RESPONSE_MARGIN_NS, time_left // 2)
-        request = Request(rid, parsed.id, exchange, parsed.payload, now + ttl, self._settings.limits.max_attempts)
+        account = Account(self.memory_budget, REQUEST_BYTES + sum(map(len, parsed.payload)))
+        request = Request(rid, parsed.id, exchange, parsed.payload, now + ttl, self._settings.limits.max_attempts,
+                          account)
         self._requests[rid] = request
         request.timeout, request.ttl = parsed.ttl_ns, time_left
         request.body = parsed.body
@@ -496,6 +506,7 @@
     def _remove(self, _now: int, request: Request) -> None:
         if not request.in_flight:
             self._requests.pop(request.rid, None)
+            request.account.update(0)
             if request.fallback_timer is not None:
                 self._timers.discard(request.fallback_timer)
             request.payload = (b"", b"")   # `_check_unread_body` may refer to it until it is due: free the body
--- a/gateway/memory.py
+++ b/gateway/memory.py
@@ -1,13 +1,41 @@
-"""The process's memory: what the kernel counts as resident, logged beside the limit of the settings."""
+"""The process's memory: what it may hold for clients and hosts, what it holds, and what the kernel counts as resident.
+
+All bytes that clients and hosts make the process hold are charged to one `MemoryBudget` where they change hands.  Each
+connection and request has an `Account` in it.  Costs of objects are estimates, rounded up.
+"""
 
 from __future__ import annotations
 
+import contextlib
+import ctypes
 import logging
 
 from .events import event
 
 log = logging.getLogger("gateway.memory")
 
+READ_BUFFER_BYTES = 64 * 1024
+"""Most bytes that are read in one call."""
+MIN_READ_BYTES = 4 * 1024
+"""Lower bound of the bytes of a streamed message that are read in one call, however many share the budget."""
+CONNECTION_BYTES = 4 * 1024
+"""Cost of a connection of a client or to a host: its transport, parser and objects."""
+REQUEST_BYTES = 4 * 1024
+"""Cost of an open request without its message: its objects in the core and the decision module, its attempts."""
+FIELD_BYTES = 170
+"""Cost of a header field beside its bytes."""
+SMALL_BYTES = 4 * 1024
+"""A message that costs no more than this may use all of the budget."""
+LARGE_SHARE = 0.75
+"""Share of the budget that larger messages may use, so that they leave room for small ones."""
+TIGHT_SHARE = 0.5
+"""Share of the budget from which on as little as possible is read ahead."""
+USABLE_SHARE = 0.5
+"""Share of the memory above the process's base that may be held; the rest is for what can't be counted: the memory
+that the allocator keeps after use, and copies that last for one call."""
+MIN_BUDGET_BYTES = 1 << 20
+"""The budget if the limit leaves less: some requests can be served at any limit."""
+
 LOG_STEP_BYTES = 1 << 20
 """Resident memory is logged each time its peak has grown by this much."""
 
@@ -22,6 +50,73 @@
         return 0, 0
 
 
+M_MMAP_THRESHOLD = -3
+"""Parameter of mallopt(3)."""
+MMAP_THRESHOLD_BYTES = 32 * 1024
+"""Allocations from this size on get pages of their own, which go back to the kernel when they are freed."""
+
+
+def return_free_memory() -> None:
+    """Return the free memory of the allocator to the kernel, and from now on large blocks as they are freed.
+
+    Does nothing where the C library has no such functions (mallopt(3), malloc_trim(3)).
+    """
+    library = ctypes.CDLL(None)
+    with contextlib.suppress(AttributeError):
+        library.mallopt(M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES)
+        library.malloc_trim(0)
+
+
+class MemoryBudget:
+    """The memory that clients and hosts may make the process hold, and what they do."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.held_bytes = 0
+        self.streams = 0   # messages that are being streamed
+
+    def admits(self, size: int) -> bool:
+        """Whether a message of this cost, in addition to what is held, stays within its share of the budget."""
+        share = 1.0 if size <= SMALL_BYTES else LARGE_SHARE
+        return self.held_bytes + size <= self.max_bytes * share
+
+    def tolerates(self, size: int) -> bool:
+        """Whether a message of this cost, which is held already, may be held on."""
+        return self.admits(0) if size <= SMALL_BYTES else self.held_bytes <= self.max_bytes * LARGE_SHARE
+
+    @property
+    def tight(self) -> bool:
+        """Whether as little as possible should be read ahead."""
+        return self.held_bytes > self.max_bytes * TIGHT_SHARE
+
+    def read_bytes(self) -> int:
+        """Most bytes that a stream may read in one call; decreases with the number of streams and what is held."""
+        room = max(0, self.max_bytes - self.held_bytes)
+        return max(MIN_READ_BYTES, min(READ_BUFFER_BYTES, room // (2 * max(1, self.streams))))
+
+
+class Account:
+    """What one connection or request holds, as charged to the budget."""
+
+    __slots__ = ("_budget", "held_bytes")
+
+    def __init__(self, budget: MemoryBudget, held_bytes: int) -> None:
+        self._budget = budget
+        self.held_bytes = held_bytes
+        budget.held_bytes += held_bytes
+
+    def update(self, held_bytes: int) -> None:
+        """Charge the difference to what was held before; 0 closes the account."""
+        self._budget.held_bytes += held_bytes - self.held_bytes
+        self.held_bytes = held_bytes
+
+
+def budget_bytes(limit_bytes: int, base_bytes: int, processes: int) -> int:
+    """Return the budget of one of these processes, which share a limit and take the same base each."""
+    usable = (limit_bytes - processes * base_bytes) * USABLE_SHARE
+    return max(MIN_BUDGET_BYTES, int(usable) // processes)
+
+
 class MemoryMonitor:
     """Samples the resident memory and logs the growth of its peak."""
 
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -22,12 +22,19 @@
 from bridgesaddle.wire import WireError, parse_settings
 
 from .admin import OperatorResponse, OperatorServer
-from .body import StreamBudget
 from .core import Core, DecisionsFactory
 from .discovery import Discovery
+from .events import event
 from .handover import Handover, host_and_port
 from .listener import Listener, listen_with_retry
-from .memory import MemoryMonitor
+from .memory import (
+    CONNECTION_BYTES,
+    MemoryBudget,
+    MemoryMonitor,
+    budget_bytes,
+    resident_and_peak_bytes,
+    return_free_memory,
+)
 from .peers import PeerSocket
 from .server import Server
 from .stalls import StallDetector
@@ -64,8 +71,10 @@
 process's half of the descriptors."""
 DEFAULT_MEMORY_MB = 192
 """Memory limit if none is configured."""
-BASE_MEMORY_MB = 40
-"""Memory that the process needs without message bodies; two processes share the rest."""
+DEFAULT_BASE_BYTES = 40 << 20
+"""Memory of the process before it serves, if the kernel does not report it."""
+CONNECTIONS_MEMORY_SHARE = 0.5
+"""Share of the memory budget that client connections without any message may use."""
 OTHER_PROCESS_CHECK_INTERVAL_NS = 250 * MS
 """Interval of the checks for another process of this gateway."""
 SHARED_CLIENT_SHARE = 0.65
@@ -189,14 +198,15 @@
         self.timers = Timers(loop)
         self.stats = Stats()
         self.handover = handover or Handover(config.listen)
+        self._base_bytes = DEFAULT_BASE_BYTES
+        self.memory_budget = MemoryBudget(self._memory_budget_bytes())
         max_clients, max_hosts = self._connection_limits()
-        self.stream_budget = StreamBudget(self._stream_budget_bytes())
         self.memory = MemoryMonitor(config.memory_bytes)
-        self.core = Core(settings, config.seed, self.timers, config.columns, make)
+        self.core = Core(settings, config.seed, self.timers, config.columns, make, self.memory_budget)
         self.stall_detector = self.core.stall_detector = StallDetector(loop, self.timers)
         self.upstream = Upstream(loop, self.timers, max_hosts,
                                  settings.limits.connect_timeout_ns, settings.limits.conn_idle_ns,
-                                 self.stats, self.stream_budget)
+                                 self.stats, self.memory_budget)
         self._start_times = StartTimes()
         parser = UpdateParser(config.zones, config.flavors, self._start_times)
         self.discovery: Discovery   # in push mode unless `settings.ask_discovery` is set; it is watched in both modes
@@ -216,7 +226,7 @@
         self.discovery.gateway_count = settings.replicas
         self.discovery.read_delay_ns = self.stall_detector.read_delay_ns
         self.stall_detector.on_stall.append(self.discovery.on_stall)
-        self.server = Server(self.core, self.timers, settings, max_clients, self.stats, self.stream_budget,
+        self.server = Server(self.core, self.timers, settings, max_clients, self.stats, self.memory_budget,
                              TurnScheduler(loop))
         self.admin = OperatorServer({("GET", "/_ready"): self._ready, ("GET", "/_vars"): self._vars,
                                      ("POST", "/_lameduck/on"): lambda: self._set_draining(True),
@@ -254,6 +264,7 @@
             log.warning("no list received from discovery in time, using the configured list")
         if self._stopping_since_ns:   # SIGTERM arrived before the process accepted clients
             return self._config.listen
+        self._measure_base_memory()
         self._listener = await listen_with_retry(self._loop, self._config.listen, self.server.new_connection,
                                                  shared=True, wanted=lambda: not self._stopping_since_ns)
         self.handover.announce_serving()
@@ -290,7 +301,9 @@
             else self._max_descriptors - RESERVED_DESCRIPTORS
         client_share = SHARED_CLIENT_SHARE if self._other_running else CLIENT_SHARE
         available = max(16, available)
-        return int(available * client_share), int(available * (1 - client_share))
+        max_clients = min(int(available * client_share),
+                          int(self.memory_budget.max_bytes * CONNECTIONS_MEMORY_SHARE) // CONNECTION_BYTES)
+        return max_clients, int(available * (1 - client_share))
 
     def _with_client_limit(self, settings: Settings) -> Settings:
         """Return the settings with the maximum open requests of clients while two processes share the limits.
@@ -301,10 +314,22 @@
         max_requests = self._max_descriptors // (2 * DESCRIPTORS_PER_CLIENT_REQUEST) if self._other_running else 0
         return replace(settings, limits=replace(settings.limits, max_client_requests=max_requests))
 
-    def _stream_budget_bytes(self) -> int:
-        """Return the memory for streamed bodies: the limit less the process's own memory; two processes share it."""
-        available = max(self._config.memory_bytes - (BASE_MEMORY_MB << 20), self._config.memory_bytes // 4)
-        return available // 2 if self._other_running else available
+    def _memory_budget_bytes(self) -> int:
+        return budget_bytes(self._config.memory_bytes, self._base_bytes, 2 if self._other_running else 1)
+
+    def _measure_base_memory(self) -> None:
+        """Set the memory budget by what the process takes before it serves."""
+        return_free_memory()
+        self._base_bytes = resident_and_peak_bytes()[0] or DEFAULT_BASE_BYTES
+        self._apply_limits()
+        event(log, "memory_budget", limit_kb=self._config.memory_bytes >> 10, base_kb=self._base_bytes >> 10,
+              budget_kb=self.memory_budget.max_bytes >> 10)
+
+    def _apply_limits(self) -> None:
+        """Set what depends on the limits of the settings and on whether another process shares them."""
+        self.memory_budget.max_bytes = self._memory_budget_bytes()
+        self.server.max_connections, self.upstream.max_connections = self._connection_limits()
+        self.upstream.close_surplus_idle()
 
     def _check_other_process(self) -> bool:
         """Check for another process of this gateway, and adjust the limits if one has started or ended."""
@@ -312,9 +337,7 @@
         if other_running != self._other_running:
             log.info("another process of this gateway %s", "runs" if other_running else "has ended")
             self._other_running = other_running
-            self.server.max_connections, self.upstream.max_connections = self._connection_limits()
-            self.upstream.close_surplus_idle()
-            self.stream_budget.max_bytes = self._stream_budget_bytes()
+            self._apply_limits()
             self._settings = self._with_client_limit(self._settings)
             self.core.on_settings(self._settings, self._columns)
         return other_running
@@ -336,7 +359,7 @@
 
     def _sample_memory(self) -> None:
         self.memory.sample(connections=self.server.connection_count, open_requests=self.server.pending,
-                           streams=self.stream_budget.streams)
+                           streams=self.memory_budget.streams, held_kb=self.memory_budget.held_bytes >> 10)
 
     def _ready(self) -> OperatorResponse:
         ready = self._listener is not None and self.server.ready
@@ -362,6 +385,9 @@
             "list_lease_ms": (self.discovery.lease.until_ns - now_ns()) // MS,
             "memory_resident_kb": self.memory.resident_bytes >> 10, "memory_peak_kb": self.memory.peak_bytes >> 10,
             "memory_limit_kb": self.memory.limit_bytes >> 10,
+            "memory_held_kb": self.memory_budget.held_bytes >> 10,
+            "memory_budget_kb": self.memory_budget.max_bytes >> 10, "memory_refused": self.server.memory_refused,
+            "memory_closed": self.server.memory_closed,
             "hold_ups": self.stall_detector.count, "hold_ups_ms": self.stall_detector.total_ns // MS,
             "hold_up_longest_ms": self.stall_detector.longest_ns // MS})
 
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import logging
+from itertools import islice
 
 from bridgesaddle.api import MS, Settings
 
 from .attempt import Header
-from .body import Body, StreamBudget
+from .body import Body
 from .checks import BadRequest, RequestValidator
 from .client_connection import LINGER_TIMEOUT_NS, NEW_CONNECTION_GRACE_NS, ClientConnection
 from .core import Core
 from .events import event
 from .exchange import Exchange
+from .memory import MIN_READ_BYTES, READ_BUFFER_BYTES, SMALL_BYTES, MemoryBudget
 from .stats import Stats
-from .timers import Timers, now_ns
+from .timers import Timer, Timers, now_ns
 from .turns import TurnScheduler
 
 log = logging.getLogger("gateway.server")
@@ -27,6 +29,10 @@
 
 Detection takes up to this long in addition to `HALF_CLOSED_CONNECT_NS` of core.py.
 """
+MIN_STALL_NS = 500 * MS
+"""A connection in the middle of a message may be closed in favour of others after this long without data."""
+MAX_STALLED_LOOKED_AT = 64
+"""Connections that are looked at to find one that may be closed."""
 READY_PATH = b"/health/ready"
 
 
@@ -34,19 +40,22 @@
     """All client connections."""
 
     def __init__(self, core: Core, timers: Timers, settings: Settings, max_connections: int, stats: Stats,
-                 stream_budget: StreamBudget, turns: TurnScheduler) -> None:
+                 memory_budget: MemoryBudget, turns: TurnScheduler) -> None:
         self.core = core
         self._timers = timers
         self._paused: dict[ClientConnection, None] = {}   # reading is paused
         self._polling = False
-        self._lingering: dict[ClientConnection, None] = {}
+        self._lingering: dict[ClientConnection, Timer] = {}   # with the timer that ends it
         self._shutting_down = False
-        self.stream_budget = stream_budget
+        self.memory_budget = memory_budget
+        self.memory_refused = 0   # messages that were refused for want of memory
+        self.memory_closed = 0   # connections that were closed in the middle of a message, as their memory was needed
         self.turns = turns
         self.stats = stats
         self.on_settings(settings)
         self.max_connections = max_connections
         self._connections: dict[ClientConnection, None] = {}
+        self._receiving: dict[ClientConnection, None] = {}   # in the middle of a message, longest without data first
         self._open_ids: set[bytes] = set()   # of open requests
         self.draining = False   # connections are closed after their responses
         self.taken_over = False   # by another process at the same address, which accepts new clients
@@ -70,10 +79,56 @@
                 if other is not connection and now - other.state_since > NEW_CONNECTION_GRACE_NS \
                         and other.close_if_idle():
                     return
+            if self._close_longest_stalled(connection, 0):
+                return
             connection.refuses_requests = True
             if len(self._connections) > self.max_connections + SPARE_CONNECTIONS:
                 connection.close_now()
 
+    @property
+    def write_buffer_bytes(self) -> int:
+        """Unsent bytes of a connection above which it counts as blocked: a quarter of its share of the memory."""
+        share = self.memory_budget.max_bytes // max(1, self.max_connections)
+        return max(MIN_READ_BYTES, min(READ_BUFFER_BYTES // 2, share // 4))
+
+    def note_receiving(self, connection: ClientConnection) -> None:
+        """Data has arrived on a connection: note whether it is in the middle of a message."""
+        self._receiving.pop(connection, None)
+        if connection.receiving:
+            self._receiving[connection] = None
+
+    def make_room(self, size: int, connection: ClientConnection) -> bool:
+        """Make room for a message of this cost on a connection; false if there is none.
+
+        Connections that have stalled longest in the middle of a message are closed for it.
+        """
+        while not self.memory_budget.admits(size):
+            if not self._close_longest_stalled(connection, SMALL_BYTES):
+                self.memory_refused += 1
+                return False
+        return True
+
+    def keep_room(self, connection: ClientConnection) -> bool:
+        """Make room for what a connection holds already; false if there is none."""
+        while not self.memory_budget.tolerates(connection.message_bytes):
+            if not self._close_longest_stalled(connection, SMALL_BYTES):
+                self.memory_refused += 1
+                return False
+        return True
+
+    def _close_longest_stalled(self, requester: ClientConnection, min_bytes: int) -> bool:
+        """Refuse the message that has had no data for longest, of those that hold more than this; false if none has."""
+        now = now_ns()
+        for other in islice(self._receiving, MAX_STALLED_LOOKED_AT):
+            if now - other.last_data_at < MIN_STALL_NS:
+                return False
+            if other is not requester and not other.reading_paused and other.message_bytes >= min_bytes:
+                self._receiving.pop(other)
+                self.memory_closed += 1
+                other.refuse_message()
+                return True
+        return False
+
     def on_reading_paused(self, connection: ClientConnection) -> None:
         """Reading from a connection has been paused: start to poll it."""
         self._paused[connection] = None
@@ -92,15 +147,18 @@
     def remove_connection(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
         self._connections.pop(connection, None)
-        self._lingering.pop(connection, None)
+        timer = self._lingering.pop(connection, None)
+        if timer is not None:
+            self._timers.discard(timer)
+        self._receiving.pop(connection, None)
 
     def on_linger(self, connection: ClientConnection) -> None:
         """Track a connection that waits for its client to close; their number is limited, as each uses a descriptor."""
-        self._lingering[connection] = None
-        self.sweep_after(LINGER_TIMEOUT_NS + MS, connection)   # a drain can't wait for the next regular sweep
+        # A drain can't wait for the next regular sweep.
+        self._lingering[connection] = self.sweep_after(LINGER_TIMEOUT_NS + MS, connection)
         if len(self._lingering) > SPARE_CONNECTIONS and len(self._connections) > self.max_connections:
             oldest = next(iter(self._lingering))
-            del self._lingering[oldest]
+            self._timers.discard(self._lingering.pop(oldest))
             oldest.close_now()
 
     def shut_down(self) -> None:
@@ -137,9 +195,9 @@
             event(log, "failed", request=checked_request.id, why="read after its client had ended its sending")
             exchange.failed()   # no attempt is made for a client that may have gone
             return
-        if exchange.connection.refuses_requests or (streamed_body is not None and self.stream_budget.full):
+        if exchange.connection.refuses_requests:
             exchange.close = True
-            event(log, "refused", request=checked_request.id, why="no room for its connection or its body")
+            event(log, "refused", request=checked_request.id, why="no room for its connection")
             exchange.refused(0)   # no attempt was made
             return
         exchange.id = checked_request.id
@@ -155,12 +213,12 @@
         """Check the timeouts of all connections."""
         for connection in list(self._connections):
             connection.sweep(now)
-        self.stream_budget.streams = sum(connection.streams for connection in self._connections
+        self.memory_budget.streams = sum(connection.streams for connection in self._connections
                                          if not connection.between_requests())
 
-    def sweep_after(self, delay_ns: int, connection: ClientConnection) -> None:
+    def sweep_after(self, delay_ns: int, connection: ClientConnection) -> Timer:
         """Check the timeouts of one connection ahead of the next regular sweep."""
-        self._timers.after(delay_ns, lambda _: connection.sweep(now_ns()), None)
+        return self._timers.after(delay_ns, lambda _: connection.sweep(now_ns()), None)
 
     @property
     def pending(self) -> int:
--- a/gateway/turns.py
+++ b/gateway/turns.py
@@ -11,7 +11,7 @@
 from collections import deque
 from typing import Protocol
 
-from .body import READ_BUFFER_BYTES
+from .memory import READ_BUFFER_BYTES
 
 TURNS_PER_ITERATION = 4
 """Connections that get their next turn in one iteration of the event loop."""
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -16,8 +16,9 @@
 from bridgesaddle.api import MS, SECOND, HostId, HostState, Outcome
 
 from .attempt import Attempt, Header, Response
-from .body import READ_BUFFER_BYTES, Body, StreamBudget
+from .body import Body
 from .events import event
+from .memory import CONNECTION_BYTES, READ_BUFFER_BYTES, Account, MemoryBudget
 from .stats import Stats
 from .syscalls import pending_events, write_before
 from .timers import Timers, now_ns
@@ -103,6 +104,7 @@
         self._paused = False
         self.write_blocked = False
         self.last_progress_at = now_ns()   # when a streamed message last made progress
+        self._account = Account(pool.memory_budget, CONNECTION_BYTES)
         self._reset()
 
     def _reset(self) -> None:
@@ -119,6 +121,12 @@
         self._keep_alive = False
         self._error = ""
 
+    def _update_account(self) -> None:
+        """Charge what is held of the response, and of a request that the host's socket has not taken."""
+        transport = self.transport
+        unsent_bytes = transport.get_write_buffer_size() if transport is not None and self.write_blocked else 0
+        self._account.update(CONNECTION_BYTES + len(self._body) + unsent_bytes)
+
     # Transport callbacks.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -221,7 +229,9 @@
         body, transport = self._request_body, self.transport
         if body is not None and transport is not None and not transport.is_closing():
             transport.write(b"%x\r\n%b\r\n" % (len(data), data) if body.length is None else data)
-            if not self.write_blocked:
+            if self.write_blocked:
+                self._update_account()
+            else:
                 self.last_progress_at = now_ns()
 
     def finish_body(self) -> None:
@@ -235,12 +245,14 @@
     def pause_writing(self) -> None:
         """The host's socket takes no more data: backpressure on the client."""
         self.write_blocked = True
+        self._update_account()
         if self._request_body is not None:
             self._request_body.update_reading()
 
     def resume_writing(self) -> None:
         """The buffer is empty: all data so far is on the socket, including the last byte if it has arrived."""
         self.write_blocked = False
+        self._update_account()
         self.last_progress_at = now_ns()
         if self._request_body is None or self._request_body.complete:
             self._on_request_written()
@@ -256,11 +268,13 @@
                 self._pool.stats.upstream_requests += 1
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._read_buffer[:self._pool.stream_budget.read_bytes()] if self._streaming else self._read_buffer
+        return self._read_buffer[:self._pool.memory_budget.read_bytes()] if self._streaming else self._read_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         self.last_progress_at = now_ns()
         self.data_received(self._read_buffer[:nbytes])
+        if self._body or self._account.held_bytes > CONNECTION_BYTES:
+            self._update_account()
 
     def data_received(self, data: memoryview) -> None:
         """Parse the response; bytes that arrive while no request waits for one make the connection unusable."""
@@ -358,6 +372,7 @@
             return
         status = self._parser.get_status_code()
         response = Response(status, self._headers, bytes(self._body))
+        self._body.clear()
         outcome = _outcome(response)
         attempt.load_report = next((value for name, value in response.headers if name.lower() == LOAD_HEADER), b"")
         self.attempt = None
@@ -430,6 +445,11 @@
         if attempt is not None:
             attempt.end(outcome)
 
+    def release_memory(self) -> None:
+        """The connection is closed: it holds nothing more."""
+        self._body.clear()
+        self._account.update(0)
+
     def written(self) -> bool:
         """Whether the request's last byte has been written to the socket."""
         return self._written
@@ -460,9 +480,9 @@
     """All connections to hosts, within one limit; it sends only the attempts that it is given."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop, timers: Timers, max_connections: int,
-                 connect_timeout_ns: int, idle_ns: int, stats: Stats, stream_budget: StreamBudget) -> None:
+                 connect_timeout_ns: int, idle_ns: int, stats: Stats, memory_budget: MemoryBudget) -> None:
         self._loop = loop
-        self.stream_budget = stream_budget
+        self.memory_budget = memory_budget
         self.stats = stats
         self.timers = timers
         self.max_connections = max_connections
@@ -625,6 +645,7 @@
     def remove(self, connection: Connection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        connection.release_memory()
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
 
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -23,6 +23,8 @@
 
 TEST_TIMEOUT_S = 20.0
 """Time limit of one test: a wait for an event that never happens ends here."""
+BASE_BYTES = 27 << 20
+"""Memory of a gateway process before it serves."""
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 CLOSING_RESPONSE = OK.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
 SETTINGS: dict[str, Any] = {
@@ -229,6 +231,8 @@
             self.gateway = Gateway(Config({"EDGE_CONFIG": file.name}), asyncio.get_running_loop(),
                                    module_factory, first_list_wait_ns=0)   # a test may leave calls unanswered
         self.address = await self.gateway.start()
+        self.gateway._base_bytes = BASE_BYTES   # it was measured with all of the test's own process
+        self.gateway._apply_limits()
         self._mark_configured_list_up_to_date()
         return self
 
--- /dev/null
+++ b/tests/test_memory.py
@@ -0,0 +1,66 @@
+"""The memory budget: what clients and hosts make the process hold is charged, and released again."""
+
+from __future__ import annotations
+
+import asyncio
+
+from gateway.memory import CONNECTION_BYTES, MIN_BUDGET_BYTES, SMALL_BYTES, Account, MemoryBudget, budget_bytes
+from gateway.server import MIN_STALL_NS
+from tests.sockets import FakeHost, GatewayHarness, request, run_scenario, wait_until
+
+MIB = 1 << 20
+
+
+def test_two_processes_of_a_gateway_have_less_than_one_together() -> None:
+    assert 2 * budget_bytes(192 * MIB, 27 * MIB, 2) < budget_bytes(192 * MIB, 27 * MIB, 1) < (192 - 27) * MIB
+    assert budget_bytes(32 * MIB, 27 * MIB, 2) == MIN_BUDGET_BYTES
+
+
+def test_large_messages_leave_a_share_of_the_budget_to_small_ones() -> None:
+    budget = MemoryBudget(MIB)
+    account = Account(budget, MIB * 3 // 4)
+    assert not budget.admits(SMALL_BYTES + 1) and budget.admits(SMALL_BYTES)
+    account.update(MIB)
+    assert not budget.admits(1) and budget.tight
+    account.update(0)
+    assert budget.held_bytes == 0
+
+
+def test_all_that_was_charged_is_released_once_clients_have_gone() -> None:
+    """Guards against a budget that shrinks with each request, stopped body or client that has left."""
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            host = FakeHost()
+            await harness.start(host)
+            budget, server = harness.gateway.memory_budget, harness.gateway.server
+            for number, data in enumerate((
+                    request(rid="a"), request("once", rid="b", body=bytes(60_000)),
+                    request("once", rid="c", body=bytes(300_000)), request("once", rid="d", body=bytes(60_000))[:-9],
+                    request("once", rid="e", body=bytes(300_000))[:-9], request(rid="f")[:-2],
+                    request(rid="g")[:-2] + b"a: b\r\n" * 200 + b"\r\n")):
+                client = await harness.client()
+                client.send(data)
+                if number in (0, 1, 2, 6):
+                    await client.read_response()
+                else:
+                    await wait_until(lambda: bool(server._receiving))
+                client.writer.transport.abort()
+                await wait_until(lambda: server.connection_count == 0 and not harness.gateway.core.open_requests())
+            assert budget.held_bytes == CONNECTION_BYTES * len(harness.gateway.upstream._connections)
+    run_scenario(scenario)
+
+
+def test_a_message_that_stalls_is_refused_in_favour_of_a_new_one() -> None:
+    """Guards against clients that stop in a message and keep all others out until their time is up."""
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            await harness.start(FakeHost())
+            budget = harness.gateway.memory_budget
+            stalled, new = await harness.client(), await harness.client()
+            stalled.send(request("once", rid="stalled", body=bytes(60_000))[:-9])
+            await wait_until(lambda: budget.held_bytes > 60_000)
+            budget.max_bytes = 100_000
+            await asyncio.sleep(1.1 * MIN_STALL_NS / 1e9)
+            assert (await new.fetch(request("once", rid="new", body=bytes(50_000))))[0] == 200
+            assert (await stalled.read_response())[0] == 503
+    run_scenario(scenario)
