Gateway: an id whose client has left does not run again while its attempt may still run

Cause: the id was released with the connection, or with the answer that nobody read any more, while a host goes on with what it has begun: the next request with it was sent as a new one.

An id that was never sent may come again.

Not covered: the other process of an upgrade, which does not know the ids of this one.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -130,10 +130,15 @@
         for exchange in exchanges:
             self._drop_exchange(exchange)
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the client has closed its connection or shut down its sending side."""
+        return self.half_closed or self.transport is None
+
     def _drop_exchange(self, exchange: Exchange) -> None:
         """Drop a request whose client has gone."""
         if not exchange.done:
-            self.server.release_id(exchange.id)
+            exchange.release_id()
             event(log, "client_left", request=exchange.id, ended_sending=self.half_closed,
                   waited_ns=now_ns() - exchange.created_at, written=bool(exchange.started))
             if exchange.request is not None:
--- a/gateway/exchange.py
+++ b/gateway/exchange.py
@@ -65,9 +65,16 @@
     def _end_response(self) -> None:
         self.done = True
         self.source = None
-        self.connection.server.release_id(self.id)
+        self.release_id()
         self.connection.flush()
 
+    def release_id(self) -> None:
+        """The request has ended, or its client has left: its id may be used again, unless it may run for nobody."""
+        server = self.connection.server
+        if self.connection.has_left and self.request is not None and self.request.attempts:
+            server.keep_departed_id(self.id)
+        server.release_id(self.id)
+
     def begin_response(self, attempt: Attempt, response: Response, length: int | None) -> None:
         """Begin a streamed response; the parts that are forwarded can't be taken back."""
         self.source = attempt
@@ -102,7 +109,7 @@
 
     def _end_with_reset(self) -> None:
         self.source = None
-        self.connection.server.release_id(self.id)
+        self.release_id()
         self.connection.reset()
 
     def served(self, response: Response) -> None:
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -12,6 +12,7 @@
 from .checks import BadRequest, RequestValidator
 from .client_connection import LINGER_TIMEOUT_NS, NEW_CONNECTION_GRACE_NS, ClientConnection
 from .core import Core
+from .departed_ids import DepartedIds
 from .events import event
 from .exchange import Exchange
 from .memory import MIN_READ_BYTES, READ_BUFFER_BYTES, SMALL_BYTES, MemoryBudget
@@ -57,6 +58,7 @@
         self._connections: dict[ClientConnection, None] = {}
         self._receiving: dict[ClientConnection, None] = {}   # in the middle of a message, longest without data first
         self._open_ids: set[bytes] = set()   # of open requests
+        self._departed_ids = DepartedIds(memory_budget)
         self.draining = False   # connections are closed after their responses
         self.taken_over = False   # by another process at the same address, which accepts new clients
 
@@ -187,7 +189,8 @@
                 exchange.close = True
             exchange.respond(error.status, [], error.why.encode() + b"\n")
             return
-        if checked_request.id in self._open_ids:   # two requests with one id would have separate attempts
+        # Two requests with one id would have separate attempts.
+        if checked_request.id in self._open_ids or checked_request.id in self._departed_ids:
             exchange.respond(400, [], b"a request with this id is open\n")
             return
         exchange.class_name = checked_request.class_name.decode()
@@ -209,10 +212,15 @@
         """A request has ended; its id may be used again."""
         self._open_ids.discard(request_id)
 
+    def keep_departed_id(self, request_id: bytes) -> None:
+        """The client of a request that may have run, or may still run, has left: its id must not run again."""
+        self._departed_ids.add(request_id)
+
     def sweep(self, now: int) -> None:
         """Check the timeouts of all connections."""
         for connection in list(self._connections):
             connection.sweep(now)
+        self._departed_ids.sweep(now)
         self.memory_budget.streams = sum(connection.streams for connection in self._connections
                                          if not connection.between_requests())
 
