Gateway: reading ahead of discovery's updates allocates no block of its own each time

Cause: before each event the pending updates are read with room for 256 KiB, which was mapped and unmapped anew each time, empty.

Change: 28 KiB a call, below the size from which blocks get pages of their own; the caller reads on until nothing is left.

--- a/gateway/syscalls.py
+++ b/gateway/syscalls.py
@@ -60,8 +60,8 @@
     return int(struct.unpack("i", answer)[0])
 
 
-MAX_READ_BYTES = 256 * 1024
-"""Maximum that one call reads ahead of the event loop."""
+MAX_READ_BYTES = 28 * 1024
+"""Maximum that one call reads ahead of the event loop; memory for as much is allocated even if nothing is pending."""
 
 
 def read_available(transport: asyncio.BaseTransport) -> bytes:
