Gateway: a closed connection waits for no turn

Cause: a connection that was refused and closed stayed in the queue of turns, where four are granted in each iteration and more than that arrived: 17,031 closed connections were still there, and live ones waited behind them (objects counted in a process with the same load).

Change: a connection leaves the queue when it is closed. A new connection above the cap of descriptors is closed also where another was refused for it.

--- a/gateway/server.py
+++ b/gateway/server.py
@@ -81,9 +81,8 @@
                 if other is not connection and now - other.state_since > NEW_CONNECTION_GRACE_NS \
                         and other.close_if_idle():
                     return
-            if self._close_longest_stalled(connection, 0):
-                return
-            connection.refuses_requests = True
+            if not self._close_longest_stalled(connection, 0):
+                connection.refuses_requests = True
             if len(self._connections) > self.max_connections + SPARE_CONNECTIONS:
                 connection.close_now()
 
@@ -148,6 +147,8 @@
 
     def remove_connection(self, connection: ClientConnection) -> None:
         """Remove a closed connection."""
+        self.turns.discard(connection)
+        self._paused.pop(connection, None)
         self._connections.pop(connection, None)
         timer = self._lingering.pop(connection, None)
         if timer is not None:
--- a/gateway/turns.py
+++ b/gateway/turns.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from typing import Protocol
 
 from .memory import READ_BUFFER_BYTES
@@ -36,14 +35,18 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
-        self._waiting: deque[Turnable] = deque()
+        self._waiting: dict[Turnable, None] = {}   # in this order
         self._is_scheduled = False
 
     def wait(self, connection: Turnable) -> None:
         """Have a connection wait for its next turn; it must not wait already."""
-        self._waiting.append(connection)
+        self._waiting[connection] = None
         self._schedule()
 
+    def discard(self, connection: Turnable) -> None:
+        """A connection is closed: it waits no longer, if it did."""
+        self._waiting.pop(connection, None)
+
     def _schedule(self) -> None:
         if self._waiting and not self._is_scheduled:
             self._is_scheduled = True
@@ -52,7 +55,9 @@
     def _grant(self) -> None:
         self._is_scheduled = False
         for _ in range(min(TURNS_PER_ITERATION, len(self._waiting))):
-            self._waiting.popleft().on_turn()
+            connection = next(iter(self._waiting))
+            del self._waiting[connection]
+            connection.on_turn()
         self._schedule()
 
 
--- a/tests/test_incident_46.py
+++ b/tests/test_incident_46.py
@@ -42,3 +42,8 @@
                                                                        tmp_path: Path) -> None:
     """Guards against a bound for each kind of client that does not hold for their sum."""
     assert not run(tmp_path / "play", ",".join(KINDS), memory_mb, sockets, clients)
+
+
+def test_many_more_clients_than_there_is_room_for_do_not_make_memory_grow(tmp_path: Path) -> None:
+    """Guards against memory that grows with the rate of refused connections, and against starved clients."""
+    assert not run(tmp_path / "play", "half_body", 32, 1024, 800)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -63,3 +63,21 @@
             client.writer.transport.abort()
     run_scenario(scenario)
     assert max(turns) <= MAX_CALLBACKS, max(turns)
+
+
+def test_closed_connections_do_not_wait_for_a_turn() -> None:
+    """Guards against closed connections that are kept, and delay others, until their turns have come."""
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            await harness.start(FakeHost())
+            server = harness.gateway.server
+            clients = [await harness.client() for _ in range(40)]
+            server.turns._is_scheduled = True   # no turn is granted
+            for client in clients:
+                client.send(request("once", drop="Content-Length", Transfer_Encoding="chunked") + b"1\r\nx\r\n" * 1000)
+            await wait_until(lambda: len(server.turns._waiting) == len(clients))
+            for connection in list(server._connections):
+                connection.reset()
+            await wait_until(lambda: server.connection_count == 0)
+            assert not server.turns._waiting
+    run_scenario(scenario)
