--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -22,7 +22,7 @@
 from .events import event
 from .exchange import Exchange
 from .last_byte import LastByteEstimate
-from .memory import CONNECTION_BYTES, FIELD_BYTES, MIN_READ_BYTES, READ_BUFFER_BYTES, Account
+from .memory import CONNECTION_BYTES, FIELD_BYTES, MIN_READ_BYTES, READ_BUFFER_BYTES, Account, MemoryKind
 from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events, unread_bytes
 from .timers import now_ns
 from .turns import REQUEST_WORK, TurnSize
@@ -95,7 +95,12 @@
         self._expects_continue = False   # the client waits for a 100 response before it sends its body
         self.last_data_at = self.state_since   # when data last arrived
         self.message_bytes = 0   # what the message that is being received costs, with the memory that it will need
-        self._account = Account(server.memory_budget, CONNECTION_BYTES)
+        budget = server.memory_budget
+        self._account = Account(budget, MemoryKind.CONNECTIONS, CONNECTION_BYTES)
+        self._head_account = Account(budget, MemoryKind.HEADS)
+        self._body_account = Account(budget, MemoryKind.BODIES)
+        self._replay_account = Account(budget, MemoryKind.REPLAY)
+        self._response_account = Account(budget, MemoryKind.RESPONSES)
         self._reset_message()
 
     def _reset_message(self) -> None:
@@ -122,8 +127,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The client has gone: drop its requests."""
         self.server.remove_connection(self)
-        self._account.update(0)
         self.transport = None
+        self._close_accounts()
         self._parser = None   # breaks a reference cycle, which would last until a garbage collection
         exchanges = list(self._exchanges)
         self._exchanges.clear()
@@ -181,15 +186,23 @@
 
     def _update_account(self) -> None:
         """Charge what is held of the message that is being received and of responses that wait for the client."""
-        self.message_bytes = self._head_bytes + len(self._headers) * FIELD_BYTES \
-            + max(self._expected_bytes, len(self._body))
+        head_bytes = self._head_bytes + len(self._headers) * FIELD_BYTES
+        body_bytes = max(self._expected_bytes, len(self._body))
         body, transport = self._streamed_body, self.transport
-        if body is not None and not body.dropped:
-            self.message_bytes += MAX_REPLAY_BYTES if not body.committed else 0
+        replay_bytes = MAX_REPLAY_BYTES if body is not None and not body.dropped and not body.committed else 0
+        self.message_bytes = head_bytes + body_bytes + replay_bytes
         unsent_bytes = sum(len(part) for exchange in self._exchanges for part in exchange.unsent_parts)
         if transport is not None:
             unsent_bytes += transport.get_write_buffer_size()
-        self._account.update(CONNECTION_BYTES + self.message_bytes + unsent_bytes)
+        self._head_account.update(head_bytes)
+        self._body_account.update(body_bytes)
+        self._replay_account.update(replay_bytes)
+        self._response_account.update(unsent_bytes)
+
+    def _close_accounts(self) -> None:
+        for account in (self._account, self._head_account, self._body_account, self._replay_account,
+                        self._response_account):
+            account.update(0)
 
     def _note_memory(self) -> None:
         """Data has arrived: charge it; a message for which there is no room is refused."""
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -28,7 +28,7 @@
 from .body import Body
 from .discovery import Discovery
 from .events import event
-from .memory import REQUEST_BYTES, Account, MemoryBudget
+from .memory import REQUEST_BYTES, Account, MemoryBudget, MemoryKind
 from .peers import PeerSocket
 from .stalls import READ_DELAY_TOLERANCE_NS, StallDetector
 from .timers import NO_DEADLINE_NS, Timer, Timers, now_ns
@@ -303,7 +303,7 @@
             return None
         self._last_rid = rid = (self._last_rid + 1) & 0xFFFFFFFF
         ttl = max(time_left - RESPONSE_MARGIN_NS, time_left // 2)
-        account = Account(self.memory_budget, REQUEST_BYTES + sum(map(len, parsed.payload)))
+        account = Account(self.memory_budget, MemoryKind.REQUESTS, REQUEST_BYTES + sum(map(len, parsed.payload)))
         request = Request(rid, parsed.id, exchange, parsed.payload, now + ttl, self._settings.limits.max_attempts,
                           account)
         self._requests[rid] = request
--- a/gateway/departed_ids.py
+++ b/gateway/departed_ids.py
@@ -8,7 +8,7 @@
 
 from bridgesaddle.api import SECOND
 
-from .memory import Account, MemoryBudget
+from .memory import Account, MemoryBudget, MemoryKind
 from .timers import now_ns
 
 KEPT_NS = 15 * SECOND
@@ -24,7 +24,7 @@
 
     def __init__(self, budget: MemoryBudget) -> None:
         self._left_at: dict[bytes, int] = {}
-        self._account = Account(budget, 0)
+        self._account = Account(budget, MemoryKind.DEPARTED)
 
     def add(self, request_id: bytes) -> None:
         """The client of a request that may have run has left."""
--- a/gateway/memory.py
+++ b/gateway/memory.py
@@ -9,6 +9,7 @@
 import contextlib
 import ctypes
 import logging
+from enum import Enum
 
 from .events import event
 
@@ -67,12 +68,27 @@
         library.malloc_trim(0)
 
 
+class MemoryKind(Enum):
+    """What memory is held for; the values are the names of the metrics."""
+
+    CONNECTIONS = "connections"
+    HEADS = "heads"   # of messages that are being received, parsed or still in the parser
+    BODIES = "bodies"   # that are being received, with what is reserved for them
+    REPLAY = "replay"   # starts of streamed bodies, kept for a retry
+    REQUESTS = "requests"   # open ones, complete or streamed, with their buffered bodies
+    RESPONSES = "responses"   # that wait for their client
+    HOSTS = "hosts"   # connections to hosts, and the requests that they have not taken
+    HOST_RESPONSES = "host_responses"   # that are being received, with what is reserved for them
+    DEPARTED = "departed"   # ids whose clients have left
+
+
 class MemoryBudget:
     """The memory that clients and hosts may make the process hold, and what they do."""
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
         self.held_bytes = 0
+        self.held_by_kind = dict.fromkeys(MemoryKind, 0)
         self.streams = 0   # messages that are being streamed
 
     def admits(self, size: int, more_bytes: int) -> bool:
@@ -92,19 +108,23 @@
 
 
 class Account:
-    """What one connection or request holds, as charged to the budget."""
+    """What one connection or request holds for one kind of use, as charged to the budget."""
 
-    __slots__ = ("_budget", "held_bytes")
+    __slots__ = ("_budget", "_kind", "held_bytes")
 
-    def __init__(self, budget: MemoryBudget, held_bytes: int) -> None:
+    def __init__(self, budget: MemoryBudget, kind: MemoryKind, held_bytes: int = 0) -> None:
         self._budget = budget
-        self.held_bytes = held_bytes
-        budget.held_bytes += held_bytes
+        self._kind = kind
+        self.held_bytes = 0
+        self.update(held_bytes)
 
     def update(self, held_bytes: int) -> None:
         """Charge the difference to what was held before; 0 closes the account."""
-        self._budget.held_bytes += held_bytes - self.held_bytes
-        self.held_bytes = held_bytes
+        more_bytes = held_bytes - self.held_bytes
+        if more_bytes:
+            self.held_bytes = held_bytes
+            self._budget.held_bytes += more_bytes
+            self._budget.held_by_kind[self._kind] += more_bytes
 
 
 def budget_bytes(limit_bytes: int, base_bytes: int, processes: int) -> int:
@@ -114,18 +134,35 @@
 
 
 class MemoryMonitor:
-    """Samples the resident memory and logs the growth of its peak."""
+    """Samples the resident memory and logs the growth of its peak, with what is held by kind."""
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, budget: MemoryBudget) -> None:
         self.limit_bytes = limit_bytes
+        self.base_bytes = 0   # resident before the process serves
         self.resident_bytes = 0
         self.peak_bytes = 0   # since the start, also between samples
+        self._budget = budget
         self._logged_bytes = 0
 
+    @property
+    def rest_bytes(self) -> int:
+        """Resident memory that is neither the base nor in any account; negative if the estimates are too high."""
+        return self.resident_bytes - self.base_bytes - self._budget.held_bytes
+
+    def metrics(self) -> dict[str, int]:
+        """The memory by kind, KiB, as of the last sample."""
+        figures = {"resident": self.resident_bytes, "peak": self.peak_bytes, "limit": self.limit_bytes,
+                   "base": self.base_bytes, "held": self._budget.held_bytes, "budget": self._budget.max_bytes,
+                   "rest": self.rest_bytes}
+        figures |= {f"held_{kind.value}": size for kind, size in self._budget.held_by_kind.items()}
+        return {f"memory_{name}_kb": size >> 10 for name, size in figures.items()}
+
     def sample(self, **fields: int) -> None:
         """Read the resident memory; a peak that has grown is logged with these fields."""
         self.resident_bytes, self.peak_bytes = resident_and_peak_bytes()
         if self.peak_bytes >= self._logged_bytes + LOG_STEP_BYTES:
             self._logged_bytes = self.peak_bytes
+            kinds = {f"{kind.value}_kb": size >> 10 for kind, size in self._budget.held_by_kind.items() if size}
             event(log, "memory_peak", peak_kb=self.peak_bytes >> 10, resident_kb=self.resident_bytes >> 10,
-                  limit_kb=self.limit_bytes >> 10, **fields)
+                  limit_kb=self.limit_bytes >> 10, **fields, held_kb=self._budget.held_bytes >> 10,
+                  rest_kb=self.rest_bytes >> 10, **kinds)
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -201,7 +201,7 @@
         self._base_bytes = DEFAULT_BASE_BYTES
         self.memory_budget = MemoryBudget(self._memory_budget_bytes())
         max_clients, max_hosts = self._connection_limits()
-        self.memory = MemoryMonitor(config.memory_bytes)
+        self.memory = MemoryMonitor(config.memory_bytes, self.memory_budget)
         self.core = Core(settings, config.seed, self.timers, config.columns, make, self.memory_budget)
         self.stall_detector = self.core.stall_detector = StallDetector(loop, self.timers)
         self.upstream = Upstream(loop, self.timers, max_hosts,
@@ -320,6 +320,7 @@
     def _measure_base_memory(self) -> None:
         """Set the memory budget by what the process takes before it serves."""
         self._base_bytes = resident_and_peak_bytes()[0] or DEFAULT_BASE_BYTES
+        self.memory.base_bytes = self._base_bytes
         self._apply_limits()
         event(log, "memory_budget", limit_kb=self._config.memory_bytes >> 10, base_kb=self._base_bytes >> 10,
               budget_kb=self.memory_budget.max_bytes >> 10)
@@ -358,7 +359,7 @@
 
     def _sample_memory(self) -> None:
         self.memory.sample(connections=self.server.connection_count, open_requests=self.server.pending,
-                           streams=self.memory_budget.streams, held_kb=self.memory_budget.held_bytes >> 10)
+                           streams=self.memory_budget.streams)
 
     def _ready(self) -> OperatorResponse:
         ready = self._listener is not None and self.server.ready
@@ -382,10 +383,7 @@
             "discovery_heard_ms_ago": (now_ns() - last_received_ns) // MS if last_received_ns else -1,
             "list_generation": self.discovery.generation,
             "list_lease_ms": (self.discovery.lease.until_ns - now_ns()) // MS,
-            "memory_resident_kb": self.memory.resident_bytes >> 10, "memory_peak_kb": self.memory.peak_bytes >> 10,
-            "memory_limit_kb": self.memory.limit_bytes >> 10,
-            "memory_held_kb": self.memory_budget.held_bytes >> 10,
-            "memory_budget_kb": self.memory_budget.max_bytes >> 10, "memory_refused": self.server.memory_refused,
+            **self.memory.metrics(), "memory_refused": self.server.memory_refused,
             "memory_closed": self.server.memory_closed,
             "hold_ups": self.stall_detector.count, "hold_ups_ms": self.stall_detector.total_ns // MS,
             "hold_up_longest_ms": self.stall_detector.longest_ns // MS})
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -18,7 +18,7 @@
 from .attempt import Attempt, Header, Response
 from .body import Body
 from .events import event
-from .memory import CONNECTION_BYTES, READ_BUFFER_BYTES, Account, MemoryBudget
+from .memory import CONNECTION_BYTES, READ_BUFFER_BYTES, Account, MemoryBudget, MemoryKind
 from .stats import Stats
 from .syscalls import pending_events, write_before
 from .timers import Timers, now_ns
@@ -104,7 +104,8 @@
         self._paused = False
         self.write_blocked = False
         self.last_progress_at = now_ns()   # when a streamed message last made progress
-        self._account = Account(pool.memory_budget, CONNECTION_BYTES)
+        self._account = Account(pool.memory_budget, MemoryKind.HOSTS, CONNECTION_BYTES)
+        self._response_account = Account(pool.memory_budget, MemoryKind.HOST_RESPONSES)
         self._reset()
 
     def _reset(self) -> None:
@@ -125,7 +126,8 @@
         """Charge what is held of the response, and of a request that the host's socket has not taken."""
         transport = self.transport
         unsent_bytes = transport.get_write_buffer_size() if transport is not None and self.write_blocked else 0
-        self._account.update(CONNECTION_BYTES + len(self._body) + unsent_bytes)
+        self._account.update(CONNECTION_BYTES + unsent_bytes)
+        self._response_account.update(len(self._body))
 
     # Transport callbacks.
 
@@ -273,7 +275,7 @@
     def buffer_updated(self, nbytes: int) -> None:
         self.last_progress_at = now_ns()
         self.data_received(self._read_buffer[:nbytes])
-        if self._body or self._account.held_bytes > CONNECTION_BYTES:
+        if self._body or self._response_account.held_bytes or self._account.held_bytes > CONNECTION_BYTES:
             self._update_account()
 
     def data_received(self, data: memoryview) -> None:
@@ -449,6 +451,7 @@
         """The connection is closed: it holds nothing more."""
         self._body.clear()
         self._account.update(0)
+        self._response_account.update(0)
 
     def written(self) -> bool:
         """Whether the request's last byte has been written to the socket."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,7 +4,15 @@
 
 import asyncio
 
-from gateway.memory import CONNECTION_BYTES, MIN_BUDGET_BYTES, SMALL_BYTES, Account, MemoryBudget, budget_bytes
+from gateway.memory import (
+    CONNECTION_BYTES,
+    MIN_BUDGET_BYTES,
+    SMALL_BYTES,
+    Account,
+    MemoryBudget,
+    MemoryKind,
+    budget_bytes,
+)
 from gateway.server import MIN_STALL_NS
 from tests.sockets import FakeHost, GatewayHarness, request, run_scenario, wait_until
 
@@ -18,7 +26,7 @@
 
 def test_large_messages_leave_a_share_of_the_budget_to_small_ones() -> None:
     budget = MemoryBudget(MIB)
-    account = Account(budget, MIB * 3 // 4)
+    account = Account(budget, MemoryKind.BODIES, MIB * 3 // 4)
     assert not budget.admits(SMALL_BYTES + 1, SMALL_BYTES + 1) and budget.admits(SMALL_BYTES, SMALL_BYTES)
     account.update(MIB)
     assert not budget.admits(1, 1) and budget.tight
