--- a/tests/overload/play.py
+++ b/tests/overload/play.py
@@ -20,8 +20,14 @@
 from .standins import Discovery, Host
 
 ROOT = Path(__file__).resolve().parents[2]
+START_TIMEOUT_S = 10.0
+READY_MARGIN_S = 0.3
+"""Time from a new process's readiness to the SIGTERM of the old one."""
+SAMPLE_INTERVAL_S = 0.1
 PLAIN_INTERVAL_S = 0.05
 PLAIN_TIMEOUT_S = 4.0
+MIN_SERVED_SHARE = 0.5
+"""Share of the plain requests that has to be served; all of them have to be answered."""
 ANSWER_WITHIN_S = PLAIN_TIMEOUT_S + 0.55
 """A later response is a lost request: half a second after the client's timeout, and the general tolerance."""
 
@@ -36,6 +42,12 @@
     waits_s: list[float] = field(default_factory=list)   # of the plain requests that got a response
     metrics: dict[str, int] = field(default_factory=dict)
     runs: Counter[str] = field(default_factory=Counter)   # of each request id, at the hosts
+    most_unaccounted_kb: int = 0   # most resident memory beyond the base and what the metrics account for
+
+    def add_sample(self, peak_kb: int, metrics: dict[str, int]) -> None:
+        """Add a sample of a gateway process."""
+        self.peak_kb = max(self.peak_kb, peak_kb)
+        self.most_unaccounted_kb = max(self.most_unaccounted_kb, metrics.get("svc.memory_rest_kb", 0))
 
     @property
     def lost(self) -> int:
@@ -46,7 +58,16 @@
         waits = sorted(self.waits_s) or [0.0]
         p50_s, p99_s = waits[len(waits) // 2], waits[len(waits) * 99 // 100]
         return (f"peak {self.peak_kb / 1024:.1f} MB, exit {self.exit_code}, plain {dict(self.statuses)}, "
-                f"lost {self.lost}, p50 {p50_s:.3f}, p99 {p99_s:.3f}, max {waits[-1]:.3f} s")
+                f"lost {self.lost}, unaccounted {self.most_unaccounted_kb / 1024:.1f} MB, "
+                f"p50 {p50_s:.3f}, p99 {p99_s:.3f}, max {waits[-1]:.3f} s")
+
+
+def faults(result: Result, memory_mb: int, min_served_share: float = MIN_SERVED_SHARE) -> list[str]:
+    """What is wrong with a run."""
+    total = sum(result.statuses.values())
+    checks = {"ended": result.exit_code is None, "memory": result.peak_kb <= memory_mb << 10, "lost": not result.lost,
+              "served": result.statuses["200"] >= min_served_share * total}
+    return [name for name, holds in checks.items() if not holds]
 
 
 class PlainClients:
@@ -112,10 +133,11 @@
 class Gateway:
     """A gateway process under limits, as the deploy file starts it."""
 
-    def __init__(self, folder: Path, discovery: Discovery, hosts: list[Host], memory_mb: int, sockets: int) -> None:
+    def __init__(self, folder: Path, discovery: Discovery, hosts: list[Host], memory_mb: int, sockets: int,
+                 address: tuple[str, int] | None = None) -> None:
         self._folder = folder
         self._sockets = sockets
-        self.address = free_address()
+        self.address = address or free_address()
         self._operator = free_address()
         self.config: dict[str, Any] = {
             "name": "n0", "listen": "{}:{}".format(*self.address), "discovery": discovery.address, "seed": "7",
@@ -124,10 +146,11 @@
             "known": {"generation": 41, "reset": True, "instances": [host.instance() for host in hosts]},
             "settings": SETTINGS}
         self.process: asyncio.subprocess.Process
+        self._is_started = False
 
     async def start(self) -> None:
         """Start the process and wait until it accepts clients."""
-        path = self._folder / "config.json"
+        path = self._folder / f"config-{self._operator[0]}.json"
         path.write_text(json.dumps(self.config))
 
         def prepare() -> None:
@@ -137,14 +160,27 @@
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable, "-B", "-m", "gateway", cwd=ROOT, stderr=log, preexec_fn=prepare,
                 env={"PATH": os.environ["PATH"], "EDGE_CONFIG": str(path), "TMPDIR": str(self._folder)})
-        async with asyncio.timeout(10.0):
-            while True:
-                try:
-                    _, writer = await asyncio.open_connection(*self.address)
-                    writer.close()
-                    return
-                except OSError:
-                    await asyncio.sleep(0.05)
+        self._is_started = True
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while not await self._is_ready():
+                await asyncio.sleep(0.05)
+
+    async def _is_ready(self) -> bool:
+        try:
+            reader, writer = await asyncio.open_connection(*self._operator)
+            writer.write(b"GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            is_ready = (await reader.read()).startswith(b"HTTP/1.1 200")
+            writer.close()
+            return is_ready
+        except OSError:
+            return False
+
+    async def watch(self, result: Result) -> None:
+        """Sample the memory until the process ends."""
+        while True:
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+            if self._is_started:
+                result.add_sample(self.peak_kb(), await self.read_metrics())
 
     def peak_kb(self) -> int:
         """Most resident memory so far, KiB; 0 once the process has ended."""
@@ -155,41 +191,60 @@
         return next((int(line.split()[1]) for line in status.splitlines() if line.startswith("VmHWM:")), 0)
 
     async def read_metrics(self) -> dict[str, int]:
-        """The metrics from the operators' address."""
-        reader, writer = await asyncio.open_connection(*self._operator)
-        writer.write(b"GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n")
-        text = (await reader.read()).partition(b"\r\n\r\n")[2].decode()
-        writer.close()
+        """The metrics from the operators' address; empty if it does not answer."""
+        try:
+            reader, writer = await asyncio.open_connection(*self._operator)
+            writer.write(b"GET /_vars HTTP/1.1\r\nHost: x\r\n\r\n")
+            text = (await reader.read()).partition(b"\r\n\r\n")[2].decode()
+            writer.close()
+        except OSError:
+            return {}
         return {name: int(value) for name, _, value in (row.partition("=") for row in text.splitlines())}
 
 
-async def start_bad_clients(address: tuple[str, int], kinds: str, count: int) -> asyncio.subprocess.Process:
+async def start_bad_clients(address: tuple[str, int], kinds: str, count: int,
+                            module: str = "bad_clients") -> asyncio.subprocess.Process:
     """Start the process of bad clients."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-B", "-m", "tests.overload.bad_clients", address[0], str(address[1]), str(count), kinds,
+        sys.executable, "-B", "-m", f"tests.overload.{module}", address[0], str(address[1]), str(count), kinds,
         cwd=ROOT, stdout=asyncio.subprocess.PIPE, preexec_fn=die_with_parent)
     assert process.stdout is not None
     await process.stdout.readline()
     return process
 
 
-async def play(folder: Path, kinds: str, clients: int, memory_mb: int, sockets: int, duration_s: float) -> Result:
-    """Run bad clients of these kinds beside plain ones for this long."""
+async def replace(old: Gateway, new: Gateway, after_s: float) -> None:
+    """Start a second process after this time and end the first one, as an upgrade does."""
+    await asyncio.sleep(after_s)
+    await new.start()
+    await asyncio.sleep(READY_MARGIN_S)
+    old.process.terminate()
+
+
+async def play(folder: Path, kinds: str, clients: int, memory_mb: int, sockets: int, duration_s: float,
+               module: str = "bad_clients", replaced_at_s: float = 0.0) -> Result:
+    """Run bad clients of these kinds, or of this mix, beside plain ones for this long."""
     result = Result()
     hosts = [await Host(f"h{number}").start() for number in range(4)]
     discovery = Discovery()
     await discovery.start()
-    gateway = Gateway(folder, discovery, hosts, memory_mb, sockets)
-    await gateway.start()
-    bad = await start_bad_clients(gateway.address, kinds, clients) if clients else None
+    gateways = [Gateway(folder, discovery, hosts, memory_mb, sockets)]
+    await gateways[0].start()
+    if replaced_at_s:
+        gateways.append(Gateway(folder, discovery, hosts, memory_mb, sockets, gateways[0].address))
+    tasks = [asyncio.create_task(gateway.watch(result)) for gateway in gateways]
+    if replaced_at_s:
+        tasks.append(asyncio.create_task(replace(gateways[0], gateways[1], replaced_at_s)))
+    bad = await start_bad_clients(gateways[0].address, kinds, clients, module) if clients else None
     try:
-        await PlainClients(gateway.address, result).run(duration_s)
+        await PlainClients(gateways[0].address, result).run(duration_s)
         assert bad is None or bad.returncode is None, "the bad clients have ended"
-        result.peak_kb = gateway.peak_kb()
-        result.exit_code = gateway.process.returncode
-        result.metrics = await gateway.read_metrics() if result.exit_code is None else {}
+        result.exit_code = gateways[-1].process.returncode
+        result.metrics = await gateways[-1].read_metrics() if result.exit_code is None else {}
     finally:
-        for process in (bad, gateway.process):
+        for task in tasks:
+            task.cancel()
+        for process in (bad, *(gateway.process for gateway in gateways)):
             if process is not None and process.returncode is None:
                 process.kill()
                 await process.wait()
--- a/tests/overload/standins.py
+++ b/tests/overload/standins.py
@@ -60,7 +60,7 @@
             return
         request_id = head.get(b"x-request-id", b"")
         self._host.runs[request_id.decode()] += 1
-        body = LONG_BODY if self._first_line.split()[1].endswith(b"long") else request_id
+        body = _body_for(self._first_line.split()[1], request_id)
         response = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
         asyncio.get_running_loop().call_later(self._host.work_s, self._write, response)
 
@@ -69,6 +69,14 @@
             self._transport.write(response)
 
 
+def _body_for(path: bytes, request_id: bytes) -> bytes:
+    """The body of a response: of the size that the path names, or the request's id."""
+    if path.endswith(b"long"):
+        return LONG_BODY
+    _, found, size = path.rpartition(b"size-")
+    return bytes(int(size)) if found and size != b"0" else request_id
+
+
 class Host:
     """A host that counts how often each request id ran."""
 
--- a/tests/test_incident_46.py
+++ b/tests/test_incident_46.py
@@ -8,19 +8,9 @@
 import uvloop
 
 from tests.overload.bad_clients import KINDS
-from tests.overload.play import Result, play
+from tests.overload.play import faults, play
 
 DURATION_S = 7.0
-MIN_SERVED_SHARE = 0.5
-"""Share of the plain requests that has to be served; all of them have to be answered."""
-
-
-def faults(result: Result, memory_mb: int) -> list[str]:
-    """What is wrong with a run."""
-    total = sum(result.statuses.values())
-    checks = {"ended": result.exit_code is None, "memory": result.peak_kb <= memory_mb << 10, "lost": not result.lost,
-              "served": result.statuses["200"] >= MIN_SERVED_SHARE * total}
-    return [name for name, holds in checks.items() if not holds]
 
 
 def run(folder: Path, kinds: str, memory_mb: int, sockets: int, clients: int) -> str:
