Gateway: nothing refers to a closed connection any more, neither a timer nor a cycle

What callers saw: a process over its limit, killed. Cause: the check whether a long body is read in time stayed in the timers until it was due (4 s and more), and its request's body referred to the client's connection; the connection of a body that was cut short referred to itself through its exchange, until a garbage collection that may never come. The same cycle: connections to hosts that were given up while connecting, operators' connections. Now the timer ends with its request, and references end with the connection.

--- a/gateway/admin.py
+++ b/gateway/admin.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
-from typing import cast
+from typing import Any, cast
 
 import httptools
 
@@ -35,7 +35,7 @@
 
     def __init__(self, server: OperatorServer) -> None:
         self._server = server
-        self._parser = httptools.HttpRequestParser(self)
+        self._parser: Any = httptools.HttpRequestParser(self)
         self._target = b""
         self._size = 0
         self._complete = False
@@ -49,9 +49,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.remove_connection(self)
+        self._parser = None   # breaks a reference cycle
 
     def data_received(self, data: bytes) -> None:
-        if self._responded:
+        if self._responded or self._parser is None:
             return
         self._size += len(data)
         try:
--- a/gateway/body.py
+++ b/gateway/body.py
@@ -91,6 +91,7 @@
         if self._sink is sink:
             self._sink = None
             self._update_reading()
+            self._update_reading = _no_op   # refers to the client's connection, as `may_be_complete_since` did
 
     def update_reading(self) -> None:
         """The host's socket takes data again, or no longer."""
@@ -101,7 +102,8 @@
         if not self.dropped:
             self.dropped = True
             self.on_committed = _no_op
-            self.may_be_complete_since = _not_complete   # breaks a reference cycle with the client's connection
+            self.may_be_complete_since = _not_complete
             self.replay_buffer.clear()
             self._sink = None
             self._update_reading()
+            self._update_reading = _no_op   # refers to the client's connection, as `may_be_complete_since` did
--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -134,6 +134,7 @@
         self._exchanges.clear()
         for exchange in exchanges:
             self._drop_exchange(exchange)
+        self._reset_message()   # breaks reference cycles through the body and its exchange
 
     @property
     def has_left(self) -> bool:
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -132,9 +132,9 @@
 class Request:
     """An open request; it stays in the table until its attempts have ended too."""
 
-    __slots__ = ("account", "attempts", "body", "client_half_closed", "deadline", "exchange", "fallback_at",
-                 "fallback_timer", "in_flight", "max_attempts", "payload", "request_id", "rid", "streamed", "timeout",
-                 "ttl")
+    __slots__ = ("account", "attempts", "body", "body_timer", "client_half_closed", "deadline", "exchange",
+                 "fallback_at", "fallback_timer", "in_flight", "max_attempts", "payload", "request_id", "rid",
+                 "streamed", "timeout", "ttl")
 
     def __init__(self, rid: int, request_id: bytes, exchange: Exchange, payload: tuple[bytes, bytes], deadline: int,
                  max_attempts: int, account: Account) -> None:
@@ -153,6 +153,7 @@
         self.ttl = 0   # its client's timeout when it was read, less the read delay, ns; `deadline` is a margin earlier
         self.fallback_at = 0   # when it is failed if the module has not decided
         self.fallback_timer: Timer | None = None
+        self.body_timer: Timer | None = None   # of the next check whether its body is read in time
         self.account = account   # of the memory that it holds
 
 
@@ -369,7 +370,7 @@
         since = body.may_be_complete_since(now)
         due = since + max(request.ttl - RESPONSE_MARGIN_NS, request.ttl // 2)
         if now < due:
-            self._timers.at(due, self._check_unread_body, request)
+            request.body_timer = self._timers.at(due, self._check_unread_body, request)
             return
         event(log, "body_unread", request=request.request_id, for_ns=now - since)
         for attempt in list(request.in_flight.values()):
@@ -495,6 +496,9 @@
         """Clean up after the response: cancel attempts that are still in flight."""
         if request.body is not None:
             request.body.drop()
+        for timer in (request.fallback_timer, request.body_timer):
+            if timer is not None:
+                self._timers.discard(timer)
         for attempt in list(request.in_flight.values()):
             self.upstream.cancel(attempt)
         self._remove_if_ended(request)
@@ -507,9 +511,7 @@
         if not request.in_flight:
             self._requests.pop(request.rid, None)
             request.account.update(0)
-            if request.fallback_timer is not None:
-                self._timers.discard(request.fallback_timer)
-            request.payload = (b"", b"")   # `_check_unread_body` may refer to it until it is due: free the body
+            request.payload = (b"", b"")   # the module's events may still refer to it: free the body
 
     def _on_attempt_end(self, request: Request, attempt: Attempt, outcome: Outcome, response: Response | None) -> None:
         """Handle the end of an attempt.  The first successful one answers the client without the module."""
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -21,7 +21,7 @@
 from .memory import CONNECTION_BYTES, READ_BUFFER_BYTES, Account, MemoryBudget, MemoryKind
 from .stats import Stats
 from .syscalls import pending_events, write_before
-from .timers import Timers, now_ns
+from .timers import Timer, Timers, now_ns
 from .transient import LOCAL_ERRNOS
 from .update_parser import ListedHost
 
@@ -94,6 +94,7 @@
         self.attempt: Attempt | None = attempt
         self.reserved_for: Attempt | None = None
         self.task: asyncio.Task[None] | None = None
+        self.connect_timer: Timer | None = None
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0
         self.local_error = False   # connecting fails for a local reason, not because of the host
@@ -462,8 +463,9 @@
             self.transport.abort()
         else:
             self._pool.remove(self)
-            if self.task is not None:
-                self.task.cancel()
+            task, self.task = self.task, None   # its result refers to this connection
+            if task is not None:
+                task.cancel()
 
     close = _close
 
@@ -570,7 +572,7 @@
         self._connections.add(connection)
         self.connections_opened += 1
         connection.task = self._loop.create_task(self._connect(connection))
-        self.timers.after(self._connect_timeout_ns, self._on_connect_timeout, connection)
+        connection.connect_timer = self.timers.after(self._connect_timeout_ns, self._on_connect_timeout, connection)
 
     def unsent_outcome(self) -> Outcome:
         """The outcome of an attempt that was stopped before it was written.
@@ -648,6 +650,8 @@
     def remove(self, connection: Connection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
+        if connection.connect_timer is not None:
+            self.timers.discard(connection.connect_timer)
         connection.release_memory()
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -3,6 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import weakref
+from enum import Enum
+
+import pytest
 
 from gateway.memory import (
     CONNECTION_BYTES,
@@ -72,3 +77,43 @@
             assert (await new.fetch(request("once", rid="new", body=bytes(50_000))))[0] == 200
             assert (await stalled.read_response())[0] == 503
     run_scenario(scenario)
+
+
+class Ending(Enum):
+    """How a client leaves."""
+
+    RESET = "reset"
+    CLOSE = "close"
+
+
+@pytest.mark.parametrize("ending", list(Ending))
+@pytest.mark.parametrize("data", [
+    pytest.param(request(rid="head")[:-2], id="half a head"),
+    pytest.param(request("once", rid="body", body=bytes(60_000))[:-9], id="most of a body"),
+    pytest.param(request("once", rid="upload", body=bytes(3_000_000))[:-9], id="most of an upload"),
+    pytest.param(request(rid="open")[:-2] + b"a: " + b"v" * 30_000, id="a field without an end"),
+    pytest.param(request(rid="answered") * 2, id="the same id twice"),
+    pytest.param(request("nosuch", rid="bad"), id="an unknown class"),
+    pytest.param(b"\r\n\r\nno request", id="no request")])
+def test_nothing_refers_to_a_connection_once_it_is_closed(data: bytes, ending: Ending) -> None:
+    """Guards against closed connections that stay in memory until a timer or a garbage collection (incident 49)."""
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            host = FakeHost()
+            await harness.start(host)
+            server = harness.gateway.server
+            client = await harness.client()
+            client.send(data)
+            await wait_until(lambda: server.connection_count == 1)
+            await asyncio.sleep(0.2)
+            closed = [weakref.ref(connection) for connection in server._connections]
+            client.writer.transport.abort() if ending is Ending.RESET else client.writer.close()
+            await wait_until(lambda: server.connection_count == 0)
+            await asyncio.sleep(0.05)
+            assert [reference for reference in closed if reference() is not None] == []
+    gc.collect()
+    gc.disable()
+    try:
+        run_scenario(scenario)
+    finally:
+        gc.enable()
