Gateway: the parser keeps no more than a head of an unfinished field, and a refused client none

What callers saw: 37 MB at a limit of 32 beside fields of 60 kB without an end. Cause: the parser got a whole read, up to 64 KiB after an upload, and keeps a field or target until its end; a refused connection kept its parser while it lingered, and its account said nothing. Now the parser gets 8 KiB at once (a body of known length whole), what it may keep is limited to 16 KiB and charged, and a refusal drops the parser.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -35,6 +35,8 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 """Longest head of a request."""
+MAX_PARSED_BYTES = 8 * 1024
+"""Most bytes that the parser gets at once, apart from a body of known length."""
 MAX_HEADERS = 100
 MAX_PIPELINED = 8
 """Maximum number of open requests of one connection; reading pauses above it."""
@@ -90,6 +92,7 @@
         self._write_blocked_since = 0
         self._last_unsent_bytes = 0   # size of the write buffer at the last sweep while writing was blocked
         self._streamed_exchange: Exchange | None = None   # of a request whose body is being streamed
+        self._parser_bytes = 0   # at most so much is kept by the parser, of a field that is not complete
         self._streamed_body: Body | None = None
         self._last_byte: LastByteEstimate | None = None   # of the streamed body
         self._expects_continue = False   # the client waits for a 100 response before it sends its body
@@ -114,7 +117,8 @@
         self._target = b""
         self._headers: list[Header] = []
         self._body = bytearray()
-        self._head_bytes = 0
+        self._head_bytes = 0   # of the fields so far
+        self._raw_head_bytes = 0
         self._in_head = False
         self._in_message = False
 
@@ -187,7 +191,7 @@
 
     def _update_account(self) -> None:
         """Charge what is held of the message that is being received and of responses that wait for the client."""
-        head_bytes = self._head_bytes + len(self._headers) * FIELD_BYTES
+        head_bytes = self._head_bytes + self._parser_bytes + len(self._headers) * FIELD_BYTES
         body_bytes = max(self._expected_bytes, len(self._body))
         body, transport = self._streamed_body, self.transport
         replay_bytes = MAX_REPLAY_BYTES if body is not None and not body.dropped and not body.committed else 0
@@ -248,8 +252,8 @@
         except httptools.HttpParserError as error:
             self._error = self._error or BadRequest(400, f"malformed: {error}")
         if self._in_head and self._error is None:
-            self._head_bytes += len(data)   # limits a head that never ends, which yields no header
-            if self._head_bytes > 2 * MAX_HEAD_BYTES:
+            self._raw_head_bytes += len(data)   # limits a head that never ends, which yields no header
+            if self._raw_head_bytes + self._head_bytes > 2 * MAX_HEAD_BYTES:
                 self._error = BadRequest(431, "a head too long")
         if self._error is not None and not self.discarding:
             self._reject(self._error)
@@ -265,10 +269,12 @@
         The parser ends such a message at its headers and stops.  A new one reads the head again, without the offer, and
         then what follows: the body and later requests.
         """
-        while len(data):
+        while len(data) and self._error is None and not self.discarding:
+            piece = data[:self._parser_piece_bytes(len(data))]
+            self._parser_bytes += len(piece)
             try:
-                self._parser.feed_data(data)
-                return
+                self._parser.feed_data(piece)
+                data = data[len(piece):]
             except httptools.HttpParserUpgrade as offer:
                 if self._error is not None or self.discarding:
                     return
@@ -277,6 +283,15 @@
                 self._parser = httptools.HttpRequestParser(self)
                 self._parser.feed_data(head)
 
+            if self._parser_bytes > MAX_HEAD_BYTES:
+                self._error = self._error or BadRequest(431, "a head too long")
+
+    def _parser_piece_bytes(self, size: int) -> int:
+        """How many of the next bytes to feed at once: the parser keeps a field that they begin and do not end."""
+        if size <= MAX_PARSED_BYTES:
+            return size
+        body_bytes_left = self._length - self._received if self._length and not self._in_head else 0
+        return max(MAX_PARSED_BYTES, body_bytes_left)
     def _head_without_offer(self) -> bytes:
         """The head of the current request without its `Upgrade` header."""
         lines = [b"%b %b HTTP/%b\r\n" % (self._parser.get_method(), self._target,
@@ -365,7 +380,9 @@
         self.discarding = True
         self._headers.clear()
         self._body.clear()
-        self._head_bytes = self._expected_bytes = 0
+        self._target = b""
+        self._parser = None   # holds what it has read of a field
+        self._head_bytes = self._parser_bytes = self._expected_bytes = 0
         event(log, "client_rejected", status=error.status, why=error.why)
         exchange, self._streamed_exchange, self._streamed_body = self._streamed_exchange, None, None
         if exchange is None or exchange.done:   # a response may precede the end of its request
@@ -391,10 +408,12 @@
     def on_url(self, url: bytes) -> None:
         self._target += url
         self._turn.work += 1
+        self._parser_bytes = 0
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._turn.work += 1
+        self._parser_bytes = 0
         self._count_head_bytes(len(name) + len(value) + 4)
         if self._error is None and self._in_head:   # no trailers: they could contain another id or length
             self._headers.append((name, value.strip(b" \t")))   # the parser keeps trailing whitespace
@@ -408,6 +427,7 @@
     def on_headers_complete(self) -> None:
         self._in_head = False
         lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
+        self._parser_bytes = 0
         has_coding = any(name.lower() == b"transfer-encoding" for name, _ in self._headers)
         if self._error is not None:
             return
@@ -452,6 +472,7 @@
     def on_body(self, body: bytes) -> None:
         self._expects_continue = False
         self._turn.work += 1
+        self._parser_bytes = 0
         self._received += len(body)
         if self._error is None and self._received > MAX_BODY_BYTES:
             self._error = BadRequest(413, "a body too long")
@@ -462,6 +483,7 @@
     def on_message_complete(self) -> None:
         self._in_message = False
         self._turn.work += REQUEST_WORK
+        self._parser_bytes = 0
         if self._error is not None or self.discarding or self._parser.should_upgrade():
             return
         self._had_request = True
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import gc
+import tracemalloc
 import weakref
 from enum import Enum
 
 import pytest
 
+from gateway.client_connection import MAX_HEAD_BYTES
 from gateway.memory import (
     CONNECTION_BYTES,
     MIN_BUDGET_BYTES,
@@ -117,3 +119,28 @@
         run_scenario(scenario)
     finally:
         gc.enable()
+
+
+def test_a_field_without_an_end_is_not_kept_beyond_the_longest_head() -> None:
+    """Guards against a parser that keeps all of a read that an earlier upload made large (incident 49)."""
+    clients = 20
+
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            host = FakeHost()
+            await harness.start(host)
+            connections = [await harness.client() for _ in range(clients)]
+            for number, client in enumerate(connections):
+                await client.fetch(request("once", rid=f"upload{number}", body=bytes(400_000)))
+            tracemalloc.start()
+            try:
+                for number, client in enumerate(connections):
+                    client.send(request(rid=f"open{number}")[:-2] + b"a: " + b"v" * 60_000)
+                for client in connections:
+                    assert (await client.read_response())[0] == 431
+                kept_bytes = tracemalloc.take_snapshot().filter_traces(
+                    [tracemalloc.Filter(True, "*client_connection.py")]).statistics("filename")[0].size
+            finally:
+                tracemalloc.stop()
+            assert kept_bytes < clients * MAX_HEAD_BYTES
+    run_scenario(scenario)
