Gateway: a response goes to the transport in small blocks, and the rest stays in its account

What callers saw: memory beside clients that read long responses slowly or not at all. Cause: the transport keeps a block whole until its last byte is sent, merges several, and what it had below its high-water mark was charged to nobody. Now it gets one block of at most a quarter of a connection's share of the memory, the next when that is sent; the rest stays with its exchange and is charged.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -90,9 +90,10 @@
         self.lingering = False
         self.refuses_requests = False   # without an attempt: above the connection limit, or the process is exiting
         self._write_blocked_since = 0
+        self._written_bytes = 0   # size of the last block that was written
         self._last_unsent_bytes = 0   # size of the write buffer at the last sweep while writing was blocked
-        self._streamed_exchange: Exchange | None = None   # of a request whose body is being streamed
         self._parser_bytes = 0   # at most so much is kept by the parser, of a field that is not complete
+        self._streamed_exchange: Exchange | None = None   # of a request whose body is being streamed
         self._streamed_body: Body | None = None
         self._last_byte: LastByteEstimate | None = None   # of the streamed body
         self._expects_continue = False   # the client waits for a 100 response before it sends its body
@@ -124,7 +125,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)   # uvloop has a class of its own
-        self.transport.set_write_buffer_limits(high=self.server.write_buffer_bytes)
+        self.transport.set_write_buffer_limits(high=0)   # pause_writing is called if any part is not yet written
         self.unread_since = self.server.core.accept_delayed_since()
         self.server.add_connection(self)
 
@@ -193,12 +194,12 @@
         """Charge what is held of the message that is being received and of responses that wait for the client."""
         head_bytes = self._head_bytes + self._parser_bytes + len(self._headers) * FIELD_BYTES
         body_bytes = max(self._expected_bytes, len(self._body))
-        body, transport = self._streamed_body, self.transport
+        body = self._streamed_body
         replay_bytes = MAX_REPLAY_BYTES if body is not None and not body.dropped and not body.committed else 0
         self.message_bytes = head_bytes + body_bytes + replay_bytes
         unsent_bytes = sum(len(part) for exchange in self._exchanges for part in exchange.unsent_parts)
-        if transport is not None:
-            unsent_bytes += transport.get_write_buffer_size()
+        if self._write_blocked_since:
+            unsent_bytes += self._written_bytes
         self._head_account.update(head_bytes)
         self._body_account.update(body_bytes)
         self._replay_account.update(replay_bytes)
@@ -282,7 +283,6 @@
                 head = self._head_without_offer()
                 self._parser = httptools.HttpRequestParser(self)
                 self._parser.feed_data(head)
-
             if self._parser_bytes > MAX_HEAD_BYTES:
                 self._error = self._error or BadRequest(431, "a head too long")
 
@@ -292,6 +292,7 @@
             return size
         body_bytes_left = self._length - self._received if self._length and not self._in_head else 0
         return max(MAX_PARSED_BYTES, body_bytes_left)
+
     def _head_without_offer(self) -> bytes:
         """The head of the current request without its `Upgrade` header."""
         lines = [b"%b %b HTTP/%b\r\n" % (self._parser.get_method(), self._target,
@@ -407,13 +408,13 @@
 
     def on_url(self, url: bytes) -> None:
         self._target += url
-        self._turn.work += 1
         self._parser_bytes = 0
+        self._turn.work += 1
         self._count_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._turn.work += 1
         self._parser_bytes = 0
+        self._turn.work += 1
         self._count_head_bytes(len(name) + len(value) + 4)
         if self._error is None and self._in_head:   # no trailers: they could contain another id or length
             self._headers.append((name, value.strip(b" \t")))   # the parser keeps trailing whitespace
@@ -426,8 +427,8 @@
 
     def on_headers_complete(self) -> None:
         self._in_head = False
-        lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
         self._parser_bytes = 0
+        lengths = [value for name, value in self._headers if name.lower() == b"content-length"]
         has_coding = any(name.lower() == b"transfer-encoding" for name, _ in self._headers)
         if self._error is not None:
             return
@@ -471,8 +472,8 @@
 
     def on_body(self, body: bytes) -> None:
         self._expects_continue = False
-        self._turn.work += 1
         self._parser_bytes = 0
+        self._turn.work += 1
         self._received += len(body)
         if self._error is None and self._received > MAX_BODY_BYTES:
             self._error = BadRequest(413, "a body too long")
@@ -482,8 +483,8 @@
 
     def on_message_complete(self) -> None:
         self._in_message = False
-        self._turn.work += REQUEST_WORK
         self._parser_bytes = 0
+        self._turn.work += REQUEST_WORK
         if self._error is not None or self.discarding or self._parser.should_upgrade():
             return
         self._had_request = True
@@ -538,11 +539,8 @@
         transport = self.transport
         while self._exchanges and self._exchanges[0].started:
             exchange = self._exchanges[0]
-            data = b"".join(exchange.unsent_parts)
-            exchange.unsent_parts.clear()
-            if data and transport is not None and not transport.is_closing():
-                transport.write(data)
-            if not exchange.done:
+            self._write_parts(exchange)
+            if not exchange.done or exchange.unsent_parts:
                 break
             self._exchanges.popleft()
             self.state_since = now_ns()
@@ -561,6 +559,16 @@
         if self._paused:
             self.update_reading()
 
+    def _write_parts(self, exchange: Exchange) -> None:
+        """Write what the client takes: the transport keeps a block whole until its last byte is sent."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            exchange.unsent_parts.clear()
+        while exchange.unsent_parts and transport is not None and not self._write_blocked_since:
+            data = exchange.take_unsent(self.server.write_buffer_bytes)
+            self._written_bytes = len(data)
+            transport.write(data)
+
     def on_response_begin(self, exchange: Exchange) -> None:
         """A response begins: decide whether the connection closes after it."""
         if exchange is self._streamed_exchange and self._expects_continue:
--- a/gateway/exchange.py
+++ b/gateway/exchange.py
@@ -42,6 +42,12 @@
         self.created_at = now_ns()
         self.class_name = ""   # empty until the request has passed the checks; only then is it counted
 
+    def take_unsent(self, max_bytes: int) -> bytes:
+        """Remove and return the next bytes to write, at most so many."""
+        data = b"".join(self.unsent_parts)
+        self.unsent_parts = [data[max_bytes:]] if len(data) > max_bytes else []
+        return data[:max_bytes]
+
     def respond(self, status: int, headers: list[Header], body: bytes) -> None:
         """Generate a complete response; it is written once all earlier responses have been written."""
         if self.started:   # never send two responses to one request, whatever goes wrong elsewhere
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import gc
+import socket
 import tracemalloc
 import weakref
 from enum import Enum
 
 import pytest
 
+from gateway.body import MAX_REPLAY_BYTES
 from gateway.client_connection import MAX_HEAD_BYTES
 from gateway.memory import (
     CONNECTION_BYTES,
@@ -144,3 +146,28 @@
                 tracemalloc.stop()
             assert kept_bytes < clients * MAX_HEAD_BYTES
     run_scenario(scenario)
+
+
+def test_a_client_that_does_not_read_leaves_one_small_block_in_the_transport() -> None:
+    """Guards against blocks that stay whole in the transport and in no account (incident 49)."""
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            body = bytes(MAX_REPLAY_BYTES - 1000)
+            host = FakeHost(response=b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            await harness.start(host)
+            server, budget = harness.gateway.server, harness.gateway.memory_budget
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(harness.address)
+            await wait_until(lambda: server.connection_count == 1)
+            connection = next(iter(server._connections))
+            assert connection.transport is not None
+            connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            sock.sendall(b"".join(request(rid=f"r{number}") for number in range(8)))
+            await wait_until(lambda: host.received.qsize() == 8)
+            await asyncio.sleep(0.2)
+            assert 0 < connection.transport.get_write_buffer_size() <= server.write_buffer_bytes
+            unsent_bytes = sum(len(part) for exchange in connection._exchanges for part in exchange.unsent_parts)
+            assert budget.held_by_kind[MemoryKind.RESPONSES] >= unsent_bytes > 0
+            sock.close()
+    run_scenario(scenario)
