Gateway: memory for a response is reserved when its head has been read, or it waits at its host

What callers saw: the budget passed its own maximum (24 of 19.9 MB), and 201 of 240 plain requests were refused beside clients that ask for eight long responses and read slowly. Cause: a request is admitted at 4 KiB and its response, up to 64 KiB, was read whatever was left; the first read of each was 64 KiB. Now 4 KiB are read first; a response of more waits, unread, until there is room, and while memory is tight until it is the next one of a client that reads. Its host has answered: the wait is not counted as the host's time, and the attempt may take the client's time. Evidence: test_memory, a response is read once there is memory for it, fails before and holds.

--- a/gateway/attempt.py
+++ b/gateway/attempt.py
@@ -33,6 +33,12 @@
     def write_body(self, attempt: Attempt, data: bytes) -> None:
         """Handle a part of the body; `attempt.pause` pauses reading."""
 
+    def may_write(self) -> bool:
+        """Whether the response would be written now: it is the next one of its client, and the client reads."""
+
+    def on_response_delayed(self, attempt: Attempt) -> None:
+        """The host has answered, but there is no memory to read its response."""
+
 
 class Attempt:
     """One attempt at one host, or a probe.
@@ -41,8 +47,8 @@
     to `receiver`.
     """
 
-    __slots__ = ("begin_by", "body", "checked_at", "client_left", "connection", "done", "expires_at", "host",
-                 "load_report", "number", "on_end", "payload", "probe", "receiver", "response_started_at",
+    __slots__ = ("answered_at", "begin_by", "body", "checked_at", "client_left", "connection", "done", "expires_at",
+                 "host", "load_report", "number", "on_end", "payload", "probe", "receiver", "response_started_at",
                  "stall_before_ns", "started_at", "timers")
 
     def __init__(self, host: HostId, number: int, payload: tuple[bytes, bytes], started_at: int, expires_at: int,
@@ -57,6 +63,7 @@
         self.receiver = receiver
         self.body = body   # set if it is streamed
         self.response_started_at = 0   # when its streamed response began
+        self.answered_at = 0   # when its response had to wait for memory
         self.number = number
         self.payload = payload   # the head without its timeout header and empty line, and the body
         self.started_at = started_at
--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -649,6 +649,10 @@
             self.server.sweep_after(NEW_CONNECTION_GRACE_NS, self)   # again: its unread bytes may be no request
 
     def _too_slow(self, now: int) -> bool:
+    def may_write(self, exchange: Exchange) -> bool:
+        """Whether the response of this exchange is the next one, and the client reads."""
+        return not self._write_blocked_since and bool(self._exchanges) and self._exchanges[0] is exchange
+
         """Whether the head exceeds its timeout or the body its minimum rate, not counting pauses of reading."""
         if self._in_head or not self._body_started_at:
             return now - self.state_since > HEAD_TIMEOUT_NS
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -99,6 +99,9 @@
     def client_half_closed(self) -> bool:
         """Whether the client has shut down its sending side, according to the kernel."""
 
+    def may_write(self) -> bool:
+        """Whether a response would be written now."""
+
     def begin_response(self, attempt: Attempt, response: Response, length: int | None) -> None:
         """Begin a streamed response; from here on the client can't get another one."""
 
@@ -156,6 +159,11 @@
         self.body_timer: Timer | None = None   # of the next check whether its body is read in time
         self.account = account   # of the memory that it holds
 
+    def held_bytes(self) -> int:
+        """What the request and the responses to its attempts hold."""
+        return self.account.held_bytes + sum(attempt.connection.held_bytes for attempt in self.in_flight.values()
+                                             if attempt.connection is not None)
+
 
 Event = tuple[Callable[..., None], Request | None, tuple[Any, ...]]
 
@@ -178,6 +186,14 @@
         if self._request.exchange is not None:
             self._request.exchange.write_body(data)
 
+    def may_write(self) -> bool:
+        """See `Receiver`."""
+        return self._request.exchange is not None and self._request.exchange.may_write()
+
+    def on_response_delayed(self, attempt: Attempt) -> None:
+        """See `Receiver`."""
+        self._core.on_response_delayed(self._request, attempt)
+
 
 class Core:
     """The core of one gateway; implements `Actions` of api.py on real sockets.
@@ -410,6 +426,13 @@
         self._queue_event(self._module.on_response_started, request, request.rid, attempt.number)
         return not attempt.done
 
+    def on_response_delayed(self, request: Request, attempt: Attempt) -> None:
+        """A response waits for memory: its host has answered, so the attempt may take all of the client's time."""
+        attempt.answered_at = now_ns()
+        attempt.expires_at = request.deadline
+        if request.deadline < NO_DEADLINE_NS:
+            attempt.timers.append(self._timers.at(request.deadline, self._expire, attempt))
+
     def members_unavailable(self) -> int:
         """Number of listed hosts that the module currently avoids."""
         return self._module.members_unavailable(now_ns())
@@ -530,7 +553,7 @@
                 exchange.failed()
         request_ended = request.exchange is None
         load = self.load_parser.parse(attempt.load_report) if attempt.load_report else ()
-        spent = max(1, (attempt.response_started_at or now_ns()) - attempt.started_at
+        spent = max(1, (attempt.answered_at or attempt.response_started_at or now_ns()) - attempt.started_at
                     - (self._total_stall_ns() - attempt.stall_before_ns))
         if outcome is not Outcome.OK:
             event(log, "attempt_ended", request=request.request_id, attempt=attempt.number, host=attempt.host,
--- a/gateway/exchange.py
+++ b/gateway/exchange.py
@@ -138,6 +138,10 @@
         """Whether the client has shut down its sending side, according to the kernel."""
         return self.connection.is_half_closed()
 
+    def may_write(self) -> bool:
+        """Whether a response would be written now: it is the next one, and the client reads."""
+        return self.connection.may_write(self)
+
     def _count_request(self, result: str) -> None:
         if self.class_name:
             self.connection.server.stats.count_request(self.class_name, result)
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -18,7 +18,15 @@
 from .attempt import Attempt, Header, Response
 from .body import Body
 from .events import event
-from .memory import CONNECTION_BYTES, READ_BUFFER_BYTES, Account, MemoryBudget, MemoryKind
+from .memory import (
+    CONNECTION_BYTES,
+    MIN_READ_BYTES,
+    READ_BUFFER_BYTES,
+    SMALL_BYTES,
+    Account,
+    MemoryBudget,
+    MemoryKind,
+)
 from .stats import Stats
 from .syscalls import pending_events, write_before
 from .timers import Timer, Timers, now_ns
@@ -53,6 +61,8 @@
 """
 LOCAL_ERROR_RETRY_S = 0.01
 """Delay before a connect that failed for a local reason (such as no free descriptors) is retried."""
+ROOM_POLL_INTERVAL_NS = 10 * MS
+"""Interval of the checks whether there is memory for the responses that wait for it."""
 MAX_IDLE_PER_HOST = 16
 """Maximum number of idle connections to one host."""
 HOP_BY_HOP = frozenset((b"connection", b"keep-alive", b"proxy-authenticate", b"proxy-authorization", b"te",
@@ -102,7 +112,10 @@
         self._written = False
         self._fd = -1
         self._request_body: Body | None = None   # streamed body that is being sent
-        self._paused = False
+        self._paused = False   # by its client
+        self.waits_for_room = False   # the memory that its response needs is not there
+        self._is_reading_paused = False
+        self._reserved_bytes = 0   # for the response
         self.write_blocked = False
         self.last_progress_at = now_ns()   # when a streamed message last made progress
         self._account = Account(pool.memory_budget, MemoryKind.HOSTS, CONNECTION_BYTES)
@@ -122,13 +135,19 @@
         self._complete = False
         self._keep_alive = False
         self._error = ""
+        self._reserved_bytes = 0
 
     def _update_account(self) -> None:
         """Charge what is held of the response, and of a request that the host's socket has not taken."""
         transport = self.transport
         unsent_bytes = transport.get_write_buffer_size() if transport is not None and self.write_blocked else 0
         self._account.update(CONNECTION_BYTES + unsent_bytes)
-        self._response_account.update(len(self._body))
+        self._response_account.update(max(self._reserved_bytes, len(self._body)))
+
+    @property
+    def held_bytes(self) -> int:
+        """What the connection holds."""
+        return self._account.held_bytes + self._response_account.held_bytes
 
     # Transport callbacks.
 
@@ -271,14 +290,53 @@
                 self._pool.stats.upstream_requests += 1
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return self._read_buffer[:self._pool.memory_budget.read_bytes()] if self._streaming else self._read_buffer
+        if self._streaming:
+            return self._read_buffer[:self._pool.memory_budget.read_bytes()]
+        return self._read_buffer if self._reserved_bytes else self._read_buffer[:MIN_READ_BYTES]
 
     def buffer_updated(self, nbytes: int) -> None:
         self.last_progress_at = now_ns()
+        self._pool.on_taken(nbytes)
         self.data_received(self._read_buffer[:nbytes])
+        if not self._reserve_response():
+            self._wait_for_room()
         if self._body or self._response_account.held_bytes or self._account.held_bytes > CONNECTION_BYTES:
             self._update_account()
 
+    def _reserve_response(self) -> bool:
+        """Reserve memory for a response that is more than small; false if there is none, or its client can't take it.
+
+        While memory is tight, a response is only read if it is the next one of its client, and the client reads.
+        """
+        attempt, budget = self.attempt, self._pool.memory_budget
+        if attempt is None or self._streaming or self._reserved_bytes or not self._head_done:
+            return True
+        size = MAX_BUFFERED_BODY_BYTES if self._length is None else min(self._length, MAX_BUFFERED_BODY_BYTES)
+        if size <= SMALL_BYTES or (self._length is None and len(self._body) <= SMALL_BYTES):
+            return True
+        if not budget.admits(size, size - len(self._body)) \
+                or (budget.tight and attempt.receiver is not None and not attempt.receiver.may_write()):
+            return False
+        self._reserved_bytes = size
+        return True
+
+    def _wait_for_room(self) -> None:
+        if not self.waits_for_room:
+            self.waits_for_room = True
+            if self.attempt is not None and self.attempt.receiver is not None:
+                self.attempt.receiver.on_response_delayed(self.attempt)
+            self._pool.wait_for_room(self)
+            self._update_reading()
+
+    def read_on_if_room(self) -> bool:
+        """Read the response on if there is memory for it now; false if it still waits."""
+        if self._is_open() and not self._reserve_response():
+            return False
+        self.waits_for_room = False
+        self._update_reading()
+        self._update_account()
+        return True
+
     def data_received(self, data: memoryview) -> None:
         """Parse the response; bytes that arrive while no request waits for one make the connection unusable."""
         if self.attempt is None or self._parser is None:
@@ -307,7 +365,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is lost: the request can't have run before its last byte was written, and may have after."""
         self._pool.remove(self)
-        self._parser = None   # breaks a reference cycle, which would last until a garbage collection
         attempt, self.attempt = self.attempt, None
         self._detach_body()
         if attempt is not None:
@@ -376,6 +433,7 @@
         status = self._parser.get_status_code()
         response = Response(status, self._headers, bytes(self._body))
         self._body.clear()
+        self._reserved_bytes = 0
         outcome = _outcome(response)
         attempt.load_report = next((value for name, value in response.headers if name.lower() == LOAD_HEADER), b"")
         self.attempt = None
@@ -396,6 +454,7 @@
                 self._error = "body too long"
                 return True
             self._streaming = True
+            self._reserved_bytes = 0
             attempt.load_report = next((value for name, value in self._headers if name.lower() == LOAD_HEADER), b"")
             attempt.response_started_at = now_ns()
             if not attempt.receiver.begin_response(attempt, Response(status, self._headers, b""), self._length):
@@ -421,17 +480,28 @@
 
     def pause(self, paused: bool) -> None:
         """Backpressure: stop reading the response while the client does not read it, or go on."""
-        if paused != self._paused and self.transport is not None and not self.transport.is_closing():
+        if paused != self._paused:
             self._paused = paused
-            self.last_progress_at = now_ns()
-            if paused:
-                self.transport.pause_reading()
-            else:
-                self.transport.resume_reading()
+            self._update_reading()
+
+    def _update_reading(self) -> None:
+        transport = self.transport
+        should_pause = self._paused or self.waits_for_room
+        if transport is None or transport.is_closing() or should_pause is self._is_reading_paused:
+            return
+        self._is_reading_paused = should_pause
+        self.last_progress_at = now_ns()
+        if should_pause:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
+    def _is_open(self) -> bool:
+        return self.transport is not None and not self.transport.is_closing()
 
     def stalled(self, now: int) -> bool:
         """Whether a streamed message has made no progress for too long although the other side could go on."""
-        could_progress = (self._streaming and not self._paused) \
+        could_progress = (self._streaming and not self._paused and not self.waits_for_room) \
             or (self._request_body is not None and self.write_blocked)
         return could_progress and now - self.last_progress_at > STREAM_STALL_TIMEOUT_NS
 
@@ -450,6 +520,7 @@
 
     def release_memory(self) -> None:
         """The connection is closed: it holds nothing more."""
+        self._parser = None   # breaks a reference cycle, which would last until a garbage collection
         self._body.clear()
         self._account.update(0)
         self._response_account.update(0)
@@ -492,11 +563,14 @@
         self.timers = timers
         self.max_connections = max_connections
         self.before_send: Callable[[], None] = lambda: None   # reads pending updates from discovery
+        self.on_taken: Callable[[int], None] = lambda size: None   # bytes have been taken in
         self.may_send: Callable[[], bool] = lambda: True   # whether the list's lease is valid
         self.on_settings(connect_timeout_ns, idle_ns)
         self._hosts: dict[HostId, Host] = {}
         self._connections: set[Connection] = set()
         self.connections_opened = 0
+        self._waiting_for_room: dict[Connection, None] = {}   # in this order
+        self.responses_delayed = 0   # responses that have waited for memory
 
     def on_settings(self, connect_timeout_ns: int, idle_ns: int) -> None:
         """Set the connect timeout and the idle timeout of hosts; 0: use the default."""
@@ -636,6 +710,20 @@
         else:
             attempt.end(outcome)
 
+    def wait_for_room(self, connection: Connection) -> None:
+        """A connection waits until there is memory for its response."""
+        if not self._waiting_for_room:
+            self.timers.after(ROOM_POLL_INTERVAL_NS, self._poll_room, None)
+        self._waiting_for_room[connection] = None
+        self.responses_delayed += 1
+
+    def _poll_room(self, _: None) -> None:
+        for connection in list(self._waiting_for_room):
+            if connection.read_on_if_room():
+                self._waiting_for_room.pop(connection, None)
+        if self._waiting_for_room:
+            self.timers.after(ROOM_POLL_INTERVAL_NS, self._poll_room, None)
+
     def release(self, connection: Connection) -> None:
         """Return a connection to the pool after a complete response."""
         host = connection.host
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -81,6 +81,9 @@
 
     # The client.
 
+    def may_write(self) -> bool:
+        return True
+
     def client_half_closed(self) -> bool:
         return False
 
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -16,6 +16,7 @@
 from gateway.memory import (
     CONNECTION_BYTES,
     MIN_BUDGET_BYTES,
+    MIN_READ_BYTES,
     SMALL_BYTES,
     Account,
     MemoryBudget,
@@ -171,3 +172,24 @@
             assert budget.held_by_kind[MemoryKind.RESPONSES] >= unsent_bytes > 0
             sock.close()
     run_scenario(scenario)
+
+
+def test_a_response_is_read_once_there_is_memory_for_it() -> None:
+    """Guards against requests that are admitted by their own size and then hold their responses (incident 49)."""
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            body = bytes(60_000)
+            host = FakeHost(response=b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+            await harness.start(host)
+            budget = harness.gateway.memory_budget
+            budget.max_bytes = 50_000
+            client = await harness.client()
+            client.send(request(rid="large"))
+            await wait_until(lambda: host.received.qsize() == 1)
+            with pytest.raises(TimeoutError):
+                await asyncio.wait_for(client.reader.readexactly(1), 0.2)
+            assert budget.held_by_kind[MemoryKind.HOST_RESPONSES] <= MIN_READ_BYTES
+            budget.max_bytes = 200_000
+            assert (await client.read_response())[2] == body
+            assert host.received.qsize() == 1
+    run_scenario(scenario)
