Gateway: a crowd leaves the last memory and places to clients that were answered; responses go first

Cause: reservations that are not filled yet were added to the room that the kernel's count leaves; requests filled all of the budget and the responses that end them found none; eight requests of one connection counted like eight clients. Now the budget is what the second mark leaves beside memory in no account; responses may use 15% more than requests; a request of a connection with others open uses three quarters of the places and of the memory, a connection on which nothing was answered nine tenths. A delayed response frees its host's place in the module. A request's cost has its connection to a host.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -96,6 +96,7 @@
         self.unread_since = 0   # earliest arrival of its first request, which may precede the accept
         self._polled_at = 0   # last check for unread data while reading is paused
         self._data_unread_since = 0   # earliest arrival of the data that is read next
+        self.has_progressed = False   # a response has been written in full
         self._had_request = False   # a complete request has been received
         self.lingering = False
         self.refuses_requests = False   # without an attempt: above the connection limit, or the process is exiting
@@ -576,6 +577,7 @@
             if not exchange.done or exchange.unsent_parts:
                 break
             self._exchanges.popleft()
+            self.has_progressed = True
             self.state_since = now_ns()
             if exchange.close and transport is not None and not transport.is_closing():
                 self._linger()
@@ -649,9 +651,13 @@
         self.flush()
         self._update_account()
 
+    def is_first(self, exchange: Exchange) -> bool:
+        """Whether the response of this exchange is the next one of its client."""
+        return bool(self._exchanges) and self._exchanges[0] is exchange
+
     def may_write(self, exchange: Exchange) -> bool:
         """Whether the response of this exchange is the next one, and the client reads."""
-        return not self._write_blocked_since and bool(self._exchanges) and self._exchanges[0] is exchange
+        return not self._write_blocked_since and self.is_first(exchange)
 
     def is_last(self, exchange: Exchange) -> bool:
         """Whether no data has arrived after this request, so that its response may close the connection."""
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -28,7 +28,7 @@
 from .body import Body
 from .discovery import Discovery
 from .events import event
-from .memory import REQUEST_BYTES, Account, MemoryBudget, MemoryKind
+from .memory import REQUEST_BYTES, SMALL_BYTES, Account, MemoryBudget, MemoryKind
 from .peers import PeerSocket
 from .stalls import READ_DELAY_TOLERANCE_NS, StallDetector
 from .timers import NO_DEADLINE_NS, Timer, Timers, now_ns
@@ -57,6 +57,9 @@
 """Maximum number of open requests; with at most 64 KiB of buffered body each, this bounds their memory."""
 
 
+CROWDED_SHARE = 0.75
+"""Share of the maximum of open requests that clients with several on one connection may use."""
+
 DecisionsFactory = Callable[[Settings, int, Actions], Decisions]
 PROBE_TIMEOUT_NS = 1000 * MS
 """Timeout of a probe; the settings have none."""
@@ -308,7 +311,7 @@
             event(log, "refused", request=parsed.id, why="too many are open")
             exchange.refused(0)
             return None
-        if not self.memory_budget.admits(REQUEST_BYTES, REQUEST_BYTES):
+        if not self.memory_budget.admits(SMALL_BYTES, REQUEST_BYTES):
             event(log, "refused", request=parsed.id, why="no memory for another request")
             exchange.refused(0)
             return None
@@ -432,6 +435,7 @@
         attempt.expires_at = request.deadline
         if request.deadline < NO_DEADLINE_NS:
             attempt.timers.append(self._timers.at(request.deadline, self._expire, attempt))
+        self._queue_event(self._module.on_response_started, request, request.rid, attempt.number)
 
     def members_unavailable(self) -> int:
         """Number of listed hosts that the module currently avoids."""
@@ -481,6 +485,11 @@
             if not attempt.connected():
                 self.upstream.cancel(attempt)
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether so many requests are open that the places left are kept for clients without one."""
+        return len(self._requests) >= self._max_open_requests * CROWDED_SHARE
+
     def open_requests(self) -> list[Request]:
         """Requests in the table: those without a response yet, and those with attempts still in flight."""
         return list(self._requests.values())
--- a/gateway/memory.py
+++ b/gateway/memory.py
@@ -21,14 +21,19 @@
 """Lower bound of the bytes of a streamed message that are read in one call, however many share the budget."""
 CONNECTION_BYTES = 4 * 1024
 """Cost of a connection of a client or to a host: its transport, parser and objects."""
-REQUEST_BYTES = 4 * 1024
-"""Cost of an open request without its message: its objects in the core and the decision module, its attempts."""
+REQUEST_BYTES = 8 * 1024
+"""Cost of an open request without its message: its objects in the core and the decision module, its attempts, and the
+connection to a host that they may need."""
 FIELD_BYTES = 170
 """Cost of a header field beside its bytes."""
 SMALL_BYTES = 4 * 1024
 """A message that costs no more than this may use all of the budget."""
 LARGE_SHARE = 0.75
 """Share of the budget that larger messages may use, so that they leave room for small ones."""
+NEW_CLIENTS_SHARE = 0.9
+"""Share of the budget that small messages may use on connections on which nothing has been answered yet."""
+RESPONSES_SHARE = 1.15
+"""Share of the budget up to which responses are read: they end requests, which may have filled all of it."""
 TIGHT_SHARE = 0.5
 """Share of the budget from which on as little as possible is read ahead."""
 USABLE_SHARE = 0.5
@@ -98,11 +103,19 @@
         self.held_by_kind = dict.fromkeys(MemoryKind, 0)
         self.streams = 0   # messages that are being streamed
 
-    def admits(self, size: int, more_bytes: int) -> bool:
-        """Whether a message of this cost may be held, if so many bytes are added to what is held."""
-        share = 1.0 if size <= SMALL_BYTES else LARGE_SHARE
+    def admits(self, size: int, more_bytes: int, has_progressed: bool = True) -> bool:
+        """Whether a message of this cost may be held, if so many bytes are added to what is held.
+
+        The last share of the budget is for small messages of clients that have read a response on their connection.
+        """
+        share = (1.0 if has_progressed else NEW_CLIENTS_SHARE) if size <= SMALL_BYTES else LARGE_SHARE
         return self.held_bytes + more_bytes <= self.max_bytes * share
 
+    def admits_response(self, size: int, more_bytes: int) -> bool:
+        """Whether a response of this cost may be read; one at a time always may, so that requests end."""
+        return self.held_bytes + more_bytes <= self.max_bytes * RESPONSES_SHARE \
+            or self.held_by_kind[MemoryKind.HOST_RESPONSES] < size
+
     @property
     def tight(self) -> bool:
         """Whether as little as possible should be read ahead."""
@@ -153,8 +166,11 @@
 
     @property
     def rest_bytes(self) -> int:
-        """Resident memory that is neither the base nor in any account; negative if the estimates are too high."""
-        return self.resident_bytes - self.base_bytes - self._budget.held_bytes
+        """Resident memory that is neither the base nor in any account; negative if the estimates are too high.
+
+        0 until the base is known.
+        """
+        return self.resident_bytes - self.base_bytes - self._budget.held_bytes if self.base_bytes else 0
 
     def metrics(self) -> dict[str, int]:
         """The memory by kind, KiB, as of the last sample."""
--- a/gateway/memory_pressure.py
+++ b/gateway/memory_pressure.py
@@ -2,8 +2,8 @@
 
 Resident memory is read after every few hundred kilobytes that are taken in.  The room that the limit leaves above the
 base has three marks.  Above the first, free memory goes back to the kernel; at the second, nothing more is admitted;
-above the third, what holds most is closed.  Below, the budget is what is held plus what the kernel's count leaves to
-the second mark, so that estimates that are too low or too high correct themselves.
+above the third, what holds most is closed.  Below, the budget is what the second mark leaves beside resident memory
+that is in no account, so that estimates that are too low correct themselves.
 """
 
 from __future__ import annotations
@@ -91,8 +91,8 @@
             used_bytes = self._reclaim(used_bytes)
         if used_bytes > self._mark(CLOSE_MARK):
             used_bytes = self._release(used_bytes)
-        left_bytes = self._mark(ADMIT_MARK) - used_bytes
-        self._budget.max_bytes = max(self._least_budget(), min(self._room_bytes, self._budget.held_bytes + left_bytes))
+        unaccounted_bytes = max(0, used_bytes - self._budget.held_bytes)
+        self._budget.max_bytes = max(self._least_budget(), self._mark(ADMIT_MARK) - unaccounted_bytes)
 
     def metrics(self) -> dict[str, int]:
         """What has been done to stay under the limit, for the operators."""
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -119,12 +119,13 @@
         if is_blocked:
             self._blocked[connection] = None
 
-    def make_room(self, size: int, more_bytes: int, connection: ClientConnection | None) -> bool:
+    def make_room(self, size: int, more_bytes: int, connection: ClientConnection) -> bool:
         """Make room for a message of this cost, of which so many bytes are not charged yet; false if there is none.
 
         Connections that have stalled longest are closed for it, in the middle of a message or of its response.
         """
-        while not self.memory_budget.admits(size, more_bytes):
+        has_progressed = connection.has_progressed
+        while not self.memory_budget.admits(size, more_bytes, has_progressed):
             if not self._close_longest_stalled(connection, SMALL_BYTES):
                 self.memory_refused += 1
                 return False
@@ -249,8 +250,8 @@
             event(log, "refused", request=checked_request.id, why="no room for its connection")
             exchange.refused(0)   # no attempt was made
             return
-        if not self.make_room(REQUEST_BYTES, REQUEST_BYTES, exchange.connection):
-            event(log, "refused", request=checked_request.id, why="no memory for another request")
+        if not self._admits_request(exchange):
+            event(log, "refused", request=checked_request.id, why="no room for another request")
             exchange.refused(0)   # no attempt was made
             return
         exchange.id = checked_request.id
@@ -258,6 +259,12 @@
         self._open_ids.add(checked_request.id)
         exchange.request = self.core.on_request(exchange, checked_request)
 
+    def _admits_request(self, exchange: Exchange) -> bool:
+        """Whether there is room for a request; the last places are for clients with no other open request."""
+        if exchange.connection.is_first(exchange):
+            return self.make_room(SMALL_BYTES, REQUEST_BYTES, exchange.connection)
+        return not self.core.is_crowded and self.memory_budget.admits(SMALL_BYTES + 1, REQUEST_BYTES)
+
     def release_id(self, request_id: bytes) -> None:
         """A request has ended; its id may be used again."""
         self._open_ids.discard(request_id)
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -314,7 +314,7 @@
         size = MAX_BUFFERED_BODY_BYTES if self._length is None else min(self._length, MAX_BUFFERED_BODY_BYTES)
         if size <= SMALL_BYTES or (self._length is None and len(self._body) <= SMALL_BYTES):
             return True
-        if not budget.admits(size, size - len(self._body)) \
+        if not budget.admits_response(size, size - len(self._body)) \
                 or (budget.tight and attempt.receiver is not None and not attempt.receiver.may_write()):
             return False
         self._reserved_bytes = size
