Gateway: over its limits a gateway first closes connections whose clients may have left

Cause: their connections, 500 and more, kept their places until the last request was ended, and new clients were closed unread. Now such a connection is reset first, for a place or for memory, and its place is free at once.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -245,15 +245,20 @@
         return total + sum(exchange.request.held_bytes() for exchange in self._exchanges
                            if exchange.request is not None)
 
-    def close_for_memory(self) -> None:
-        """Its memory is needed: refuse the message that is being received, or reset the connection."""
-        if self.receiving and not self._write_blocked_since:
+    def close_for_memory(self) -> bool:
+        """Its memory or its place is needed: refuse the message that is being received, or reset the connection.
+
+        Returns whether it has been reset.
+        """
+        if self.receiving and not self._write_blocked_since and not self.half_closed:
             self.refuse_message()
-        else:
-            event(log, "client_reset", why="its memory is needed", unsent=self._response_account.held_bytes,
-                  blocked_ns=now_ns() - self._write_blocked_since if self._write_blocked_since else 0)
-            self.reset()
-            self._close_accounts()
+            return False
+        event(log, "client_reset", why="its memory or its place is needed", half_closed=self.half_closed,
+              unsent=self._response_account.held_bytes,
+              blocked_ns=now_ns() - self._write_blocked_since if self._write_blocked_since else 0)
+        self.reset()
+        self._close_accounts()
+        return True
 
     @property
     def write_blocked_since(self) -> int:
@@ -406,6 +411,8 @@
     def _on_half_close(self) -> None:
         """The client has shut down its sending side: attempts in flight may still answer it, no new one is made."""
         self.half_closed = True
+        if not self.lingering:
+            self.server.note_half_closed(self)
         for exchange in list(self._exchanges):
             if not exchange.started and exchange.request is not None:
                 self.server.core.on_client_half_closed(exchange.request)
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -72,6 +72,7 @@
         self.on_taken: Callable[[int], None] = lambda size: None   # bytes have been taken in
         self._receiving: dict[ClientConnection, None] = {}   # in the middle of a message, longest without data first
         self._blocked: dict[ClientConnection, None] = {}   # with unsent responses, longest without progress first
+        self._half_closed: dict[ClientConnection, None] = {}   # whose clients have ended their sending, in this order
         self._open_ids: set[bytes] = set()   # of open requests
         self._departed_ids = DepartedIds(memory_budget)
         self.draining = False   # connections are closed after their responses
@@ -97,7 +98,7 @@
                 if other is not connection and now - other.state_since > NEW_CONNECTION_GRACE_NS \
                         and other.close_if_idle():
                     return
-            if not self._close_longest_stalled(connection, 0):
+            if not self._close_half_closed() and not self._close_longest_stalled(connection, 0):
                 connection.refuses_requests = True
             if len(self._connections) > self.max_connections + SPARE_CONNECTIONS:
                 connection.close_now()
@@ -132,12 +133,15 @@
         return True
 
     def release_memory(self, size: int) -> int:
-        """Close connections until they have given up so many bytes: the longest stalled, then those that hold most.
+        """Close connections until they have given up so many bytes.
+
+        First those whose clients may have left, then the longest stalled, then those that hold most.
 
         Returns how many bytes they held.
         """
         released_bytes = 0
-        while released_bytes < size and (stalled_bytes := self._close_longest_stalled(None, SMALL_BYTES)):
+        while released_bytes < size and (
+                stalled_bytes := self._close_half_closed() or self._close_longest_stalled(None, SMALL_BYTES)):
             released_bytes += stalled_bytes
         if released_bytes < size:
             for other in sorted(self._connections, key=lambda item: item.held_bytes(), reverse=True):
@@ -166,13 +170,23 @@
                 return self._close_for_memory(other)
         return 0
 
+    def note_half_closed(self, connection: ClientConnection) -> None:
+        """A connection's client has ended its sending: it may wait for responses, or have gone."""
+        self._half_closed[connection] = None
+
+    def _close_half_closed(self) -> int:
+        """Close the connection whose client ended its sending first; returns how many bytes it held, at least 1."""
+        return self._close_for_memory(next(iter(self._half_closed))) if self._half_closed else 0
+
     def _close_for_memory(self, connection: ClientConnection) -> int:
         """Refuse the message that a connection is in the middle of, or reset it; returns the bytes that it held."""
         held_bytes = connection.held_bytes()
         self._receiving.pop(connection, None)
         self._blocked.pop(connection, None)
+        self._half_closed.pop(connection, None)
         self.memory_closed += 1
-        connection.close_for_memory()
+        if connection.close_for_memory():
+            self._connections.pop(connection, None)   # its place is free now, before the loop reports its close
         return max(1, held_bytes)
 
     def on_reading_paused(self, connection: ClientConnection) -> None:
@@ -200,6 +214,7 @@
             self._timers.discard(timer)
         self._receiving.pop(connection, None)
         self._blocked.pop(connection, None)
+        self._half_closed.pop(connection, None)
 
     def on_linger(self, connection: ClientConnection) -> None:
         """Track a connection that waits for its client to close; their number is limited, as each uses a descriptor."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import socket
+import struct
 import tracemalloc
 import weakref
 from enum import Enum
@@ -207,6 +208,8 @@
             client = await harness.client()
             client.send(request(rid="large"))
             await wait_until(lambda: upstream.responses_delayed == 1)
+            reset_at_close = struct.pack("ii", 1, 0)   # an end of its sending alone would leave the request open
+            client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset_at_close)
             client.writer.transport.abort()
             await wait_until(lambda: not upstream._connections and not upstream._waiting_for_room)
             await wait_until(lambda: not harness.gateway.core.open_requests())
