--- a/gateway/memory_pressure.py
+++ b/gateway/memory_pressure.py
@@ -22,12 +22,14 @@
 
 log = logging.getLogger("gateway.memory")
 
-RECLAIM_MARK = 0.4
-"""Share of the room above which free memory is returned to the kernel."""
-ADMIT_MARK = 0.7
-"""Share of the room up to which messages are admitted."""
-CLOSE_MARK = 0.85
-"""Share of the room above which connections are closed."""
+RESERVE_SHARE = 0.1
+"""Share of the room that is left for what comes between two checks, at least `MIN_RESERVE_BYTES`: above it connections
+are closed."""
+MIN_RESERVE_BYTES = 1280 * 1024
+ADMIT_SHARE = 0.82
+"""Share of the rest of the room up to which messages are admitted."""
+RECLAIM_SHARE = 0.45
+"""Share of the rest of the room above which free memory is returned to the kernel."""
 MIN_BUDGET_SHARE = 0.25
 """Share of the room that messages and requests may hold whatever is resident: the allocator's free memory is used
 again."""
@@ -70,12 +72,17 @@
         self._base_bytes = 0
         self._room_bytes = 0   # 0 until the limit is set
         self._check_bytes = MAX_CHECK_BYTES
+        self._is_releasing = False
+        self.close_mark = self.admit_mark = self._reclaim_mark = 0   # used bytes, above the base
 
     def set_limit(self, limit_bytes: int, base_bytes: int) -> None:
         """Set the limit of this process and its resident memory before it serves."""
         self._base_bytes = base_bytes
         self._room_bytes = max(MIN_ROOM_BYTES, limit_bytes - base_bytes)
         self._check_bytes = min(MAX_CHECK_BYTES, int(self._room_bytes * CHECK_SHARE))
+        self.close_mark = self._room_bytes - max(MIN_RESERVE_BYTES, int(self._room_bytes * RESERVE_SHARE))
+        self.admit_mark = int(self.close_mark * ADMIT_SHARE)
+        self._reclaim_mark = int(self.close_mark * RECLAIM_SHARE)
 
     def note_taken(self, size: int) -> None:
         """So many bytes have been taken in: check the resident memory after enough of them."""
@@ -87,23 +94,22 @@
         """Compare the resident memory with the marks."""
         self._taken_bytes = 0
         used_bytes = self._read_used()
-        if used_bytes is None or not self._room_bytes:
+        if used_bytes is None or not self._room_bytes or self._is_releasing:
             return
-        if used_bytes > self._mark(RECLAIM_MARK):
+        if used_bytes > self._reclaim_mark:
             used_bytes = self._reclaim(used_bytes)
-        if used_bytes > self._mark(CLOSE_MARK):
+        if used_bytes > self.close_mark:
+            self._is_releasing = True   # what is closed may have other requests sent, which take memory in
             used_bytes = self._release(used_bytes)
+            self._is_releasing = False
         unaccounted_bytes = max(0, used_bytes - self._budget.held_bytes)
-        self._budget.max_bytes = max(self._least_budget(), self._mark(ADMIT_MARK) - unaccounted_bytes)
+        self._budget.max_bytes = max(self._least_budget(), self.admit_mark - unaccounted_bytes)
 
     def metrics(self) -> dict[str, int]:
         """What has been done to stay under the limit, for the operators."""
         return {"memory_reclaims": self.reclaims, "memory_reclaim_ms": self.reclaim_ns // MS,
                 "memory_collections": self.collections, "memory_released_kb": self.released_bytes >> 10}
 
-    def _mark(self, share: float) -> int:
-        return int(self._room_bytes * share)
-
     def _read_used(self) -> int | None:
         resident_bytes = self.read_resident()
         return resident_bytes - self._base_bytes if resident_bytes else None
@@ -115,7 +121,7 @@
                 and used_bytes < self._after_reclaim_bytes + int(self._room_bytes * CHECK_SHARE):
             return used_bytes
         used_bytes = self._return_free(used_bytes)
-        if used_bytes > self._mark(ADMIT_MARK) and now - self._last_collect_at > COLLECT_INTERVAL_NS:
+        if used_bytes > self.admit_mark and now - self._last_collect_at > COLLECT_INTERVAL_NS:
             self._last_collect_at = now
             self.collections += 1
             gc.collect()
@@ -136,7 +142,7 @@
 
         Closing more than is held beyond the least budget would not help: the rest is free memory of the allocator.
         """
-        excess_bytes = min(used_bytes - self._mark(ADMIT_MARK), self._budget.held_bytes - self._least_budget())
+        excess_bytes = min(used_bytes - self.admit_mark, self._budget.held_bytes - self._least_budget())
         released_bytes = self.release(excess_bytes) if excess_bytes > 0 else 0
         if not released_bytes:
             return used_bytes
@@ -147,4 +153,4 @@
 
     def _least_budget(self) -> int:
         connections_bytes = sum(self._budget.held_by_kind[kind] for kind in (MemoryKind.CONNECTIONS, MemoryKind.HOSTS))
-        return connections_bytes + max(MIN_BUDGET_BYTES, self._mark(MIN_BUDGET_SHARE))
+        return connections_bytes + max(MIN_BUDGET_BYTES, int(self._room_bytes * MIN_BUDGET_SHARE))
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -644,6 +644,7 @@
             log.warning("connection limit reached: %d connections to hosts are open", len(self._connections))
             attempt.end(Outcome.CONNECT_FAILED)
             return
+        self.on_taken(CONNECTION_BYTES)
         connection = attempt.connection = Connection(self, host, attempt)
         self._connections.add(connection)
         self.connections_opened += 1
