Gateway: memory that is held and not resident may be held by others, in part

Cause: requests and reservations are estimated high; at 32 MB the budget was full at 2.5 MB of 5.1 that were there, and plain requests were refused beside a burst. Half of the difference is given out again; the last mark bounds the rest.

--- a/gateway/memory_pressure.py
+++ b/gateway/memory_pressure.py
@@ -33,6 +33,8 @@
 MIN_BUDGET_SHARE = 0.25
 """Share of the room that messages and requests may hold whatever is resident: the allocator's free memory is used
 again."""
+UNFILLED_SHARE = 0.5
+"""Share of what is held and not resident that may be held by others: the rest may be reserved for bytes to come."""
 CHECK_SHARE = 1 / 32
 """Share of the room that is taken in between two checks, at most `MAX_CHECK_BYTES`."""
 MAX_CHECK_BYTES = 256 * 1024
@@ -102,8 +104,10 @@
             self._is_releasing = True   # what is closed may have other requests sent, which take memory in
             used_bytes = self._release(used_bytes)
             self._is_releasing = False
-        unaccounted_bytes = max(0, used_bytes - self._budget.held_bytes)
-        self._budget.max_bytes = max(self._least_budget(), self.admit_mark - unaccounted_bytes)
+        excess_bytes = used_bytes - self._budget.held_bytes   # below 0: estimates too high, or reserved and not filled
+        if excess_bytes < 0:
+            excess_bytes = int(excess_bytes * UNFILLED_SHARE)
+        self._budget.max_bytes = max(self._least_budget(), self.admit_mark - excess_bytes)
 
     def metrics(self) -> dict[str, int]:
         """What has been done to stay under the limit, for the operators."""
