--- a/gateway/memory.py
+++ b/gateway/memory.py
@@ -94,15 +94,28 @@
     DEPARTED = "departed"   # ids whose clients have left
 
 
+_KIND_INDEXES = {kind: index for index, kind in enumerate(MemoryKind)}
+
+
 class MemoryBudget:
     """The memory that clients and hosts may make the process hold, and what they do."""
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes   # set by the resident memory
         self.held_bytes = 0
-        self.held_by_kind = dict.fromkeys(MemoryKind, 0)
+        self._held_by_index = [0] * len(MemoryKind)   # a list, as a lookup by a member of an enumeration is slow
         self.streams = 0   # messages that are being streamed
 
+    @property
+    def held_by_kind(self) -> dict[MemoryKind, int]:
+        """What is held for each kind of use, bytes."""
+        return dict(zip(MemoryKind, self._held_by_index, strict=True))
+
+    def charge(self, kind_index: int, more_bytes: int) -> None:
+        """Add to what is held; negative if it is released."""
+        self.held_bytes += more_bytes
+        self._held_by_index[kind_index] += more_bytes
+
     def admits(self, size: int, more_bytes: int, has_progressed: bool = True) -> bool:
         """Whether a message of this cost may be held, if so many bytes are added to what is held.
 
@@ -130,11 +143,11 @@
 class Account:
     """What one connection or request holds for one kind of use, as charged to the budget."""
 
-    __slots__ = ("_budget", "_kind", "held_bytes")
+    __slots__ = ("_budget", "_kind_index", "held_bytes")
 
     def __init__(self, budget: MemoryBudget, kind: MemoryKind, held_bytes: int = 0) -> None:
         self._budget = budget
-        self._kind = kind
+        self._kind_index = _KIND_INDEXES[kind]
         self.held_bytes = 0
         self.update(held_bytes)
 
@@ -143,8 +156,7 @@
         more_bytes = held_bytes - self.held_bytes
         if more_bytes:
             self.held_bytes = held_bytes
-            self._budget.held_bytes += more_bytes
-            self._budget.held_by_kind[self._kind] += more_bytes
+            self._budget.charge(self._kind_index, more_bytes)
 
 
 def budget_bytes(limit_bytes: int, base_bytes: int, processes: int) -> int:
--- a/gateway/memory_pressure.py
+++ b/gateway/memory_pressure.py
@@ -156,5 +156,6 @@
         return self._return_free(used_bytes)
 
     def _least_budget(self) -> int:
-        connections_bytes = sum(self._budget.held_by_kind[kind] for kind in (MemoryKind.CONNECTIONS, MemoryKind.HOSTS))
+        held_by_kind = self._budget.held_by_kind
+        connections_bytes = held_by_kind[MemoryKind.CONNECTIONS] + held_by_kind[MemoryKind.HOSTS]
         return connections_bytes + max(MIN_BUDGET_BYTES, int(self._room_bytes * MIN_BUDGET_SHARE))
