--- a/gateway/core.py
+++ b/gateway/core.py
@@ -58,7 +58,7 @@
 
 
 CROWDED_SHARE = 0.75
-"""Share of the maximum of open requests that clients with several on one connection may use."""
+"""Share of the open requests and of the connections to hosts that clients with several requests may use."""
 
 DecisionsFactory = Callable[[Settings, int, Actions], Decisions]
 PROBE_TIMEOUT_NS = 1000 * MS
@@ -487,8 +487,8 @@
 
     @property
     def is_crowded(self) -> bool:
-        """Whether so many requests are open that the places left are kept for clients without one."""
-        return len(self._requests) >= self._max_open_requests * CROWDED_SHARE
+        """Whether the requests and connections to hosts that are left are kept for clients without an open request."""
+        return len(self._requests) >= self._max_open_requests * CROWDED_SHARE or self.upstream.is_crowded(CROWDED_SHARE)
 
     def open_requests(self) -> list[Request]:
         """Requests in the table: those without a response yet, and those with attempts still in flight."""
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -657,6 +657,12 @@
         If the lease has expired, the outcome does not count against the host.
         """
         return Outcome.CONNECT_FAILED if self.may_send() else Outcome.MOOT
+    def is_crowded(self, share: float) -> bool:
+        """Whether requests use more than this share of the connections."""
+        limit = self.max_connections * share
+        return len(self._connections) > limit \
+            and len(self._connections) - sum(len(host.idle) for host in self._hosts.values()) > limit
+
 
     def on_reusable(self, connection: Connection) -> None:
         """The reuse delay is over, or the connection has been lost: send the attempt that waits for it."""
