Gateway: a connection to a host that is given up while connecting is not kept by its transport

Cause: a client resets while its request's connection is being made; the loop still reports the connection, then closes the transport without reporting its end, so the connection keeps its transport and the transport its methods: 3,488 of each after 4 s, until a collection.

--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -105,6 +105,7 @@
         self.reserved_for: Attempt | None = None
         self.task: asyncio.Task[None] | None = None
         self.connect_timer: Timer | None = None
+        self._is_removed = False
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0
         self.local_error = False   # connecting fails for a local reason, not because of the host
@@ -153,6 +154,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send the attempt, unless it is no longer wanted by the time the connection is established."""
+        if self._is_removed:   # given up while connecting: the loop may not report its end, so nothing is kept
+            cast(asyncio.Transport, transport).abort()
+            return
         self.transport = cast(asyncio.Transport, transport)   # uvloop has a class of its own
         self.task = None   # the task's result refers to this connection
         self._fd = transport.get_extra_info("socket").fileno()
@@ -367,6 +371,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """The connection is lost: the request can't have run before its last byte was written, and may have after."""
         self._pool.remove(self)
+        self.transport = None   # breaks a reference cycle, as the transport keeps methods of this connection
         attempt, self.attempt = self.attempt, None
         self._detach_body()
         if attempt is not None:
@@ -522,6 +527,7 @@
 
     def release_memory(self) -> None:
         """The connection is closed: it holds nothing more."""
+        self._is_removed = True
         self._parser = None   # breaks a reference cycle, which would last until a garbage collection
         self._body.clear()
         self._account.update(0)
@@ -651,18 +657,18 @@
         connection.task = self._loop.create_task(self._connect(connection))
         connection.connect_timer = self.timers.after(self._connect_timeout_ns, self._on_connect_timeout, connection)
 
-    def unsent_outcome(self) -> Outcome:
-        """The outcome of an attempt that was stopped before it was written.
-
-        If the lease has expired, the outcome does not count against the host.
-        """
-        return Outcome.CONNECT_FAILED if self.may_send() else Outcome.MOOT
     def is_crowded(self, share: float) -> bool:
         """Whether requests use more than this share of the connections."""
         limit = self.max_connections * share
         return len(self._connections) > limit \
             and len(self._connections) - sum(len(host.idle) for host in self._hosts.values()) > limit
 
+    def unsent_outcome(self) -> Outcome:
+        """The outcome of an attempt that was stopped before it was written.
+
+        If the lease has expired, the outcome does not count against the host.
+        """
+        return Outcome.CONNECT_FAILED if self.may_send() else Outcome.MOOT
 
     def on_reusable(self, connection: Connection) -> None:
         """The reuse delay is over, or the connection has been lost: send the attempt that waits for it."""
--- a/tests/test_memory_pressure.py
+++ b/tests/test_memory_pressure.py
@@ -49,6 +49,18 @@
     assert process.pressure.metrics()["memory_released_kb"] == process.released_bytes >> 10
 
 
+def test_free_memory_is_returned_where_more_is_resident_than_held() -> None:
+    """Guards against memory that the allocator keeps after a crowd, far below the limit (incident 49)."""
+    process = Process()
+    process.account.update(10 * MIB)
+    process.used_bytes = 11 * MIB
+    process.pressure.check()
+    assert process.pressure.metrics()["memory_reclaims"] == 0
+    process.used_bytes = 12 * MIB
+    process.pressure.check()
+    assert process.pressure.metrics()["memory_reclaims"] == 1
+
+
 def test_small_requests_are_admitted_while_freed_memory_stays_resident() -> None:
     """Guards against a process that refuses all for ever since its allocator has kept what was freed."""
     process = Process()
