Gateway: new connections wait for a place for a moment; uploads leave connections to hosts to others

What callers saw: 3 and 5 of 260 new connections closed unread beside waves of clients at 64 MB, plain requests after 3.7 s. Cause, by the log: 330 uploads held all 439 connections to hosts, plain requests failed to connect and waited for their retry on connections of their own; clients that closed 330 connections and opened as many found their old ones not yet noticed. Now a long upload is refused (503) once three quarters of the connections to hosts are in use, and a listener without a place waits 0.2 s before it closes new ones unread. A client of the tests that is closed while it resets no longer ends the play.

--- a/gateway/server.py
+++ b/gateway/server.py
@@ -38,6 +38,8 @@
 
 Detection takes up to this long in addition to `HALF_CLOSED_CONNECT_NS` of core.py.
 """
+FULL_GRACE_NS = 200 * MS
+"""How long new connections wait at the listener when no place is left, before they are closed unread."""
 MIN_STALL_NS = 500 * MS
 """A connection in the middle of a message may be closed in favour of others after this long without data."""
 MIN_BLOCKED_NS = 1000 * MS
@@ -72,6 +74,7 @@
         self.on_taken: Callable[[int], None] = lambda size: None   # bytes have been taken in
         self._receiving: dict[ClientConnection, None] = {}   # in the middle of a message, longest without data first
         self._blocked: dict[ClientConnection, None] = {}   # with unsent responses, longest without progress first
+        self._full_since = 0   # since when no place for a connection is left; 0: there is one
         self._half_closed: dict[ClientConnection, None] = {}   # whose clients have ended their sending, in this order
         self._open_ids: set[bytes] = set()   # of open requests
         self._departed_ids = DepartedIds(memory_budget)
@@ -103,6 +106,19 @@
             if len(self._connections) > self.max_connections + SPARE_CONNECTIONS:
                 connection.close_now()
 
+    def may_accept(self) -> bool:
+        """Whether to accept another connection now.
+
+        Where no place is left, new ones wait for a moment: clients that close many and connect again leave the old ones
+        to be noticed as closed.
+        """
+        if len(self._connections) < self.max_connections + SPARE_CONNECTIONS:
+            self._full_since = 0
+            return True
+        now = now_ns()
+        self._full_since = self._full_since or now
+        return now - self._full_since > FULL_GRACE_NS
+
     def set_write_buffer(self, budget_bytes: int) -> None:
         """Set the size of the blocks that are written: a quarter of a connection's share of the memory."""
         share = budget_bytes // max(1, self.max_connections)
@@ -265,7 +281,7 @@
             event(log, "refused", request=checked_request.id, why="no room for its connection")
             exchange.refused(0)   # no attempt was made
             return
-        if not self._admits_request(exchange):
+        if not self._admits_request(exchange, streamed_body is not None):
             event(log, "refused", request=checked_request.id, why="no room for another request")
             exchange.refused(0)   # no attempt was made
             return
@@ -274,11 +290,18 @@
         self._open_ids.add(checked_request.id)
         exchange.request = self.core.on_request(exchange, checked_request)
 
-    def _admits_request(self, exchange: Exchange) -> bool:
-        """Whether there is room for a request; the last places are for clients with no other open request."""
-        if exchange.connection.is_first(exchange):
+    def _admits_request(self, exchange: Exchange, is_streamed: bool) -> bool:
+        """Whether there is room for a request.
+
+        The last places are for short requests of clients with no other open one, as uploads and clients with several
+        requests hold connections to hosts for long.
+        """
+        is_first = exchange.connection.is_first(exchange)
+        if (is_streamed or not is_first) and self.core.is_crowded:
+            return False
+        if is_first:
             return self.make_room(SMALL_BYTES, REQUEST_BYTES, exchange.connection)
-        return not self.core.is_crowded and self.memory_budget.admits(SMALL_BYTES + 1, REQUEST_BYTES)
+        return self.memory_budget.admits(SMALL_BYTES + 1, REQUEST_BYTES)
 
     def release_id(self, request_id: bytes) -> None:
         """A request has ended; its id may be used again."""
--- a/tests/overload/mixed_clients.py
+++ b/tests/overload/mixed_clients.py
@@ -64,8 +64,9 @@
             if kind.ending is Ending.HOLD:
                 await self._hold()
             elif kind.ending is Ending.RESET:
-                sock = self._writer.get_extra_info("socket")
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                open_socket = self._writer.get_extra_info("socket")
+                if open_socket is not None:
+                    open_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         finally:
             self._writer.transport.abort()
 
