--- a/gateway/listener.py
+++ b/gateway/listener.py
@@ -21,7 +21,7 @@
 ACCEPTS_PER_TURN = 32
 """Connections accepted in one turn of the event loop, so that open ones are not delayed by many new ones."""
 ACCEPT_RETRY_DELAY_S = 0.01
-"""Delay after an `accept` that failed with a local error, or while there is no place for a connection."""
+"""Delay after an `accept` that failed with a local error."""
 
 
 class Listener:
@@ -37,7 +37,6 @@
         self._protocol = protocol
         self._pending: set[asyncio.Task[object]] = set()   # accepted, transports not yet created
         self._resume_timer: asyncio.TimerHandle | None = None
-        self.may_accept: Callable[[], bool] = lambda: True   # false: connections wait at the listener for a while
         self._socket = bind_socket(address, shared)
         try:
             self._socket.listen(ACCEPT_BACKLOG)
@@ -68,23 +67,20 @@
 
     def _accept(self) -> None:
         for _ in range(ACCEPTS_PER_TURN):
-            if not self.may_accept():
-                self._pause()
-                return
             try:
                 connection, _ = self._socket.accept()
             except BlockingIOError:
                 return
             except OSError as error:
                 if error.errno not in ACCEPT_ERRNOS:   # otherwise one connection was lost; the next may be usable
-                    event(log, "accept_failed", errno=error.errno, why=error.strerror)
-                    self._pause()
+                    self._pause(error)
                     return
             else:
                 self._open(connection)
 
-    def _pause(self) -> None:
+    def _pause(self, error: OSError) -> None:
         """Stop accepting for a while; otherwise the event loop would call `_accept` again immediately."""
+        event(log, "accept_failed", errno=error.errno, why=error.strerror)
         self._loop.remove_reader(self._socket)
         self._resume_timer = self._loop.call_later(ACCEPT_RETRY_DELAY_S, self._resume)
 
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -272,7 +272,6 @@
         self._measure_base_memory()
         self._listener = await listen_with_retry(self._loop, self._config.listen, self.server.new_connection,
                                                  shared=True, wanted=lambda: not self._stopping_since_ns)
-        self._listener.may_accept = self.server.may_accept
         self.handover.announce_serving()
         if self._config.settings.limits.peers and self._config.peer_listen is not None:
             self.core.peers = PeerSocket(self._config.peers, self._config.peers_all, self.core.on_peer)
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -38,8 +38,6 @@
 
 Detection takes up to this long in addition to `HALF_CLOSED_CONNECT_NS` of core.py.
 """
-FULL_GRACE_NS = 200 * MS
-"""How long new connections wait at the listener when no place is left, before they are closed unread."""
 MIN_STALL_NS = 500 * MS
 """A connection in the middle of a message may be closed in favour of others after this long without data."""
 MIN_BLOCKED_NS = 1000 * MS
@@ -74,7 +72,6 @@
         self.on_taken: Callable[[int], None] = lambda size: None   # bytes have been taken in
         self._receiving: dict[ClientConnection, None] = {}   # in the middle of a message, longest without data first
         self._blocked: dict[ClientConnection, None] = {}   # with unsent responses, longest without progress first
-        self._full_since = 0   # since when no place for a connection is left; 0: there is one
         self._half_closed: dict[ClientConnection, None] = {}   # whose clients have ended their sending, in this order
         self._open_ids: set[bytes] = set()   # of open requests
         self._departed_ids = DepartedIds(memory_budget)
@@ -106,19 +103,6 @@
             if len(self._connections) > self.max_connections + SPARE_CONNECTIONS:
                 connection.close_now()
 
-    def may_accept(self) -> bool:
-        """Whether to accept another connection now.
-
-        Where no place is left, new ones wait for a moment: clients that close many and connect again leave the old ones
-        to be noticed as closed.
-        """
-        if len(self._connections) < self.max_connections + SPARE_CONNECTIONS:
-            self._full_since = 0
-            return True
-        now = now_ns()
-        self._full_since = self._full_since or now
-        return now - self._full_since > FULL_GRACE_NS
-
     def set_write_buffer(self, budget_bytes: int) -> None:
         """Set the size of the blocks that are written: a quarter of a connection's share of the memory."""
         share = budget_bytes // max(1, self.max_connections)
