--- a/gateway/memory_pressure.py
+++ b/gateway/memory_pressure.py
@@ -98,7 +98,7 @@
         used_bytes = self._read_used()
         if used_bytes is None or not self._room_bytes or self._is_releasing:
             return
-        if used_bytes > min(self._reclaim_mark, self._budget.held_bytes + MIN_RESERVE_BYTES):
+        if used_bytes > min(self._reclaim_mark, self._budget.held_bytes + self._room_bytes - self.close_mark):
             used_bytes = self._reclaim(used_bytes)
         if used_bytes > self.close_mark:
             self._is_releasing = True   # what is closed may have other requests sent, which take memory in
