Gateway: a body that is sent again pauses and resumes its client

After a retry of an upload the client was read neither less nor more as its host took the body: it could stop for good, or be read without backpressure. Test: test_memory, a body that is sent again, fails before and holds. test_memory, test_memory_pressure, test_unread_body pass.

--- a/gateway/body.py
+++ b/gateway/body.py
@@ -91,7 +91,6 @@
         if self._sink is sink:
             self._sink = None
             self._update_reading()
-            self._update_reading = _no_op   # refers to the client's connection, as `may_be_complete_since` did
 
     def update_reading(self) -> None:
         """The host's socket takes data again, or no longer."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -9,10 +9,11 @@
 import tracemalloc
 import weakref
 from enum import Enum
+from typing import cast
 
 import pytest
 
-from gateway.body import MAX_REPLAY_BYTES
+from gateway.body import MAX_REPLAY_BYTES, Body, Sink
 from gateway.client_connection import MAX_HEAD_BYTES
 from gateway.memory import (
     CONNECTION_BYTES,
@@ -217,3 +218,16 @@
             assert sum(budget.held_by_kind[kind] for kind in MemoryKind if kind is not MemoryKind.DEPARTED) \
                 == other.held_bytes
     run_scenario(scenario)
+
+
+def test_a_body_that_is_sent_again_pauses_and_resumes_its_client() -> None:
+    """Guards against a second attempt whose host can neither hold up nor go on with the upload (incident 49)."""
+    updates: list[int] = []
+    body = Body(None, b"start", lambda: updates.append(1))
+    sink = cast(Sink, object())
+    body.attach(sink)
+    body.detach(sink)
+    body.attach(sink)
+    before = len(updates)
+    body.update_reading()
+    assert len(updates) == before + 1
