--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import tempfile
 from collections.abc import Awaitable, Callable, Coroutine
@@ -49,6 +50,16 @@
     uvloop.run(run_with_timeout())
 
 
+def run_without_collections(scenario: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run an async test without garbage collections, so that objects in reference cycles stay."""
+    gc.collect()
+    gc.disable()
+    try:
+        run_scenario(scenario)
+    finally:
+        gc.enable()
+
+
 async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
     """Read the first line, the headers and the body of a message with a Content-Length."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import socket
 import struct
 import tracemalloc
@@ -26,7 +25,7 @@
     budget_bytes,
 )
 from gateway.server import MIN_STALL_NS
-from tests.sockets import FakeHost, GatewayHarness, request, run_scenario, wait_until
+from tests.sockets import FakeHost, GatewayHarness, request, run_scenario, run_without_collections, wait_until
 
 MIB = 1 << 20
 
@@ -118,12 +117,7 @@
             await wait_until(lambda: server.connection_count == 0)
             await asyncio.sleep(0.05)
             assert [reference for reference in closed if reference() is not None] == []
-    gc.collect()
-    gc.disable()
-    try:
-        run_scenario(scenario)
-    finally:
-        gc.enable()
+    run_without_collections(scenario)
 
 
 def test_a_field_without_an_end_is_not_kept_beyond_the_longest_head() -> None:
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -16,7 +16,17 @@
 from gateway.syscalls import pending_events
 from gateway.timers import now_ns
 from gateway.upstream import Connection
-from tests.sockets import OK, SETTINGS, FakeHost, GatewayHarness, request, run_scenario, wait_until, wait_until_reusable
+from tests.sockets import (
+    OK,
+    SETTINGS,
+    FakeHost,
+    GatewayHarness,
+    request,
+    run_scenario,
+    run_without_collections,
+    wait_until,
+    wait_until_reusable,
+)
 
 PAUSE_MARGIN_NS = 900 * MS
 """Margin for a pause of a busy machine, which must not make a test fail."""
@@ -505,9 +515,4 @@
             assert not [item for item in gc.get_objects()
                         if (isinstance(item, ClientConnection) and item.server is gateway.server)
                         or (isinstance(item, Connection) and item._pool is gateway.upstream)]
-    gc.collect()
-    gc.disable()
-    try:
-        run_scenario(scenario)
-    finally:
-        gc.enable()
+    run_without_collections(scenario)
