--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -170,20 +170,23 @@
     async def host(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answer each request with `size` bytes, as fast as they are taken."""
         while True:
-            message = await read_message(reader)
-            self.record("host answers", message.id)
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self.size)
-            self.given[message.id] = 0
-            while self.given[message.id] < self.size:
-                part = bytes(min(50_000, self.size - self.given[message.id]))
-                writer.write(part)
-                try:
-                    await writer.drain()
-                except OSError:
-                    self.record("host: the gateway has ended the connection of", message.id, "after",
-                                self.given[message.id], "bytes")
-                    raise
-                self.given[message.id] += len(part)
+            await self.give(writer, await read_message(reader))
+
+    async def give(self, writer: asyncio.StreamWriter, message: Message) -> None:
+        """Answer one request."""
+        self.record("host answers", message.id)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % self.size)
+        self.given[message.id] = 0
+        while self.given[message.id] < self.size:
+            part = bytes(min(50_000, self.size - self.given[message.id]))
+            writer.write(part)
+            try:
+                await writer.drain()
+            except OSError:
+                self.record("host: the gateway has ended the connection of", message.id, "after",
+                            self.given[message.id], "bytes")
+                raise
+            self.given[message.id] += len(part)
 
     async def read(self, port: int, name: str, piece: int, wait_s: float, ends_at: float, *lines: str) -> None:
         """A client that reads its answer a piece at a time, with a wait before each piece but the first.
@@ -308,11 +311,14 @@
     record = Record(folder)
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)   # the case ends what it started
         async with asyncio.timeout(110):
             return await case(record)
     try:
         code = asyncio.run(run())
-    except Exception as error:   # whatever it was: the case could not run
+    except (Exception, asyncio.CancelledError) as error:   # whatever it was: the case could not run
         record("could not run:", repr(error))
         code = 2
     record("exit", code)
