--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,48 +1,62 @@
-"""Case 10: a gateway that got SIGTERM ends by itself in the middle of answers that their hosts still give."""
+"""Case 10: an attempt begins long after its client has closed."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
-from standins_2 import TROUBLE, Discovery, LongAnswers, Place, Record, host_row, main, start_host
+from standins_2 import TROUBLE, Discovery, Place, Record, answer, host_row, main, read_message, request, start_host
 
-LONG_BYTES = 24_000_000
-READERS = 4
-PIECE_BYTES, PIECE_S = 1_000_000, 0.5   # 2 MB a second: twelve seconds to read
-KILL_S = 20.0   # "no sooner than the longest deadline (counted as 3 s) and 0.7 s": here much later
+SIZE = 3_000_000
+PIECE = 100_000
+REQUESTS = 5
+LATEST_S = 0.1 + 0.05   # "more than 0.1 s later"; each time limit grows by 50 ms on sockets
 
 
 async def case(record: Record) -> int:
-    long = LongAnswers(record, LONG_BYTES)
-    discovery = Discovery([host_row(0, await start_host(long.host))])
+    begun: dict[str, float] = {}
+    closed: dict[str, float] = {}
+
+    async def host(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def pace() -> int:
+            await asyncio.sleep(PIECE / 1_000_000 if TROUBLE else 0)   # 1 MB a second: three seconds for a body
+            return PIECE
+        while True:
+            message = await read_message(reader, pace)
+            begun[message.id] = time.monotonic()
+            record("host begins", message.id, "body", len(message.body))
+            writer.write(answer(b"done " + message.id.encode(), 'X-Server-Load: {"queue":0,"latency_ms":30}'))
+            await writer.drain()
+
+    port = await start_host(host, 64 * 1024)
+    discovery = Discovery([host_row(0, port)])
     await discovery.start()
     place = Place(record, discovery, memory_mb=192, sockets=1024)
     try:
-        process = await place.start_gateway()
-        ends_at = time.monotonic() + 60
-        reading = [asyncio.create_task(long.read(place.listen, f"long{number}", PIECE_BYTES, PIECE_S, ends_at))
-                   for number in range(READERS)]
-        await asyncio.sleep(1.0)
-        if TROUBLE:
-            record("SIGTERM")
-            sent = time.monotonic()
-            process.send_signal(signal.SIGTERM)
-            try:
-                async with asyncio.timeout(KILL_S):
-                    await process.wait()
-                record(f"the gateway has ended by itself {time.monotonic() - sent:.2f} s after SIGTERM")
-            except TimeoutError:
-                record("SIGKILL")   # what it finds unanswered is not lost: these requests came before SIGTERM
-                return 0
-        await asyncio.wait(reading, timeout=40)
+        await place.start_gateway()
+        for number in range(REQUESTS):
+            name = f"r{number:02d}"
+            reader, writer = await asyncio.open_connection("127.0.0.1", place.listen)
+            writer.write(request("hizala", name, 5000, length=SIZE))
+            writer.write(bytes(SIZE))
+            await writer.drain()
+            record("client sends", name)
+            await asyncio.sleep(0.3)
+            writer.close()
+            await writer.wait_closed()
+            closed[name] = time.monotonic()
+            record("client closed", name)
+            await asyncio.sleep(6.0)
+        for name, at in closed.items():
+            record(name, "begun", f"{begun[name] - at:.3f} s after the close" if name in begun else "never")
     finally:
         await place.end()
-    return 1 if long.cut() else 0
+    late = [name for name in closed if begun.get(name, 0.0) - closed[name] > LATEST_S]
+    record("late attempts:", len(late))
+    return 1 if late else 0
 
 
 main(Path(__file__).resolve().parent, case)
