Gateway: a complete response is passed on whole, whatever its host sends behind it

Short ones with an interim response or a truncated status line behind them were run again and refused; a 500 with a 200 behind it was served as 200. Cause: the parser is fed a whole read, and error, status and headers were read from its state afterwards (upstream.py, _process_response, on_message_begin). Change: response_parser.py (moved out of upstream.py) records a response until it is complete; what follows only marks the connection, which is closed. A response that breaks before its end stays broken.

--- a/gateway/body.py
+++ b/gateway/body.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+MAX_BODY_BYTES = 32 * 1024 * 1024
+"""Longest request body, and largest Content-Length of a response; a response without one has no maximum."""
 MAX_REPLAY_BYTES = 64 * 1024
 """Size up to which the start of a body is kept while an attempt sends it, so that it can be sent again; see `Body`.
 Bodies up to this length are never streamed, as `upstream.MAX_BUFFERED_BODY_BYTES` is equal."""
--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -17,7 +17,7 @@
 from bridgesaddle.api import MS, SECOND
 
 from .attempt import Header
-from .body import MAX_REPLAY_BYTES, Body
+from .body import MAX_BODY_BYTES, MAX_REPLAY_BYTES, Body
 from .checks import BadRequest
 from .events import event
 from .exchange import Exchange
@@ -34,7 +34,7 @@
 from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events, unread_bytes
 from .timers import now_ns
 from .turns import REQUEST_WORK, TurnSize
-from .upstream import MAX_BODY_BYTES, MAX_BUFFERED_BODY_BYTES, STREAM_STALL_TIMEOUT_NS
+from .upstream import MAX_BUFFERED_BODY_BYTES, STREAM_STALL_TIMEOUT_NS
 
 if TYPE_CHECKING:
     from .server import Server
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -9,13 +9,11 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
-from typing import Any, cast
-
-import httptools
+from typing import cast
 
 from bridgesaddle.api import MS, SECOND, HostId, HostState, Outcome
 
-from .attempt import Attempt, Header, Response
+from .attempt import Attempt, Response
 from .body import Body
 from .events import event
 from .memory import (
@@ -27,6 +25,7 @@
     MemoryBudget,
     MemoryKind,
 )
+from .response_parser import ResponseParser
 from .stats import Stats
 from .syscalls import pending_events, write_before
 from .timers import Timer, Timers, now_ns
@@ -41,14 +40,10 @@
 A shorter response of unknown length may be streamed too (`UNKNOWN_LENGTH_BUFFER_NS`).  Only responses with status 200
 are streamed; a longer one with another status counts as malformed.
 """
-MAX_BODY_BYTES = 32 * 1024 * 1024
-"""Longest request body, and largest Content-Length of a response; a response without one has no maximum."""
 UNKNOWN_LENGTH_BUFFER_NS = 100 * MS
 """How long a response of unknown length is buffered before streaming begins: it delays a long one's first bytes."""
 STREAM_STALL_TIMEOUT_NS = 10 * SECOND
 """A streamed message is aborted after this long without progress while the other side could go on."""
-MAX_HEAD_BYTES = 16 * 1024
-"""Longest head of a response."""
 IDLE_TIMEOUT_FRACTION = 0.6
 """Fraction of the host's idle timeout after which the gateway closes a connection, well before the host does."""
 DEFAULT_IDLE_TIMEOUT_NS = 10 * SECOND
@@ -109,7 +104,7 @@
         self.transport: asyncio.Transport | None = None
         self.idle_since = 0
         self.local_error = False   # connecting fails for a local reason, not because of the host
-        self._parser: Any = httptools.HttpResponseParser(self)
+        self._response = ResponseParser()
         self._written = False
         self._fd = -1
         self._request_body: Body | None = None   # streamed body that is being sent
@@ -124,18 +119,9 @@
         self._reset()
 
     def _reset(self) -> None:
-        self._length: int | None = None
-        self._chunked = False
+        self._response.reset()
         self._streaming = False
         self._buffer_timer_set = False
-        self._headers: list[Header] = []
-        self._body = bytearray()
-        self._header_bytes = 0
-        self._raw_head_bytes = 0
-        self._head_done = False
-        self._complete = False
-        self._keep_alive = False
-        self._error = ""
         self._reserved_bytes = 0
 
     def _update_account(self) -> None:
@@ -143,7 +129,7 @@
         transport = self.transport
         unsent_bytes = transport.get_write_buffer_size() if transport is not None and self.write_blocked else 0
         self._account.update(CONNECTION_BYTES + unsent_bytes)
-        self._response_account.update(max(self._reserved_bytes, len(self._body)))
+        self._response_account.update(max(self._reserved_bytes, len(self._response.body)))
 
     @property
     def held_bytes(self) -> int:
@@ -304,7 +290,7 @@
         self.data_received(self._read_buffer[:nbytes])
         if not self._reserve_response():
             self._wait_for_room()
-        if self._body or self._response_account.held_bytes or self._account.held_bytes > CONNECTION_BYTES:
+        if self._response.body or self._response_account.held_bytes or self._account.held_bytes > CONNECTION_BYTES:
             self._update_account()
 
     def _reserve_response(self) -> bool:
@@ -312,13 +298,13 @@
 
         While memory is tight, a response is only read if it is the next one of its client, and the client reads.
         """
-        attempt, budget = self.attempt, self._pool.memory_budget
-        if attempt is None or self._streaming or self._reserved_bytes or not self._head_done:
+        attempt, budget, response = self.attempt, self._pool.memory_budget, self._response
+        if attempt is None or self._streaming or self._reserved_bytes or not response.head_done:
             return True
-        size = MAX_BUFFERED_BODY_BYTES if self._length is None else min(self._length, MAX_BUFFERED_BODY_BYTES)
-        if size <= SMALL_BYTES or (self._length is None and len(self._body) <= SMALL_BYTES):
+        size = MAX_BUFFERED_BODY_BYTES if response.length is None else min(response.length, MAX_BUFFERED_BODY_BYTES)
+        if size <= SMALL_BYTES or (response.length is None and len(response.body) <= SMALL_BYTES):
             return True
-        if not budget.admits_response(size, size - len(self._body)) \
+        if not budget.admits_response(size, size - len(response.body)) \
                 or (budget.tight and attempt.receiver is not None and not attempt.receiver.may_write()):
             return False
         self._reserved_bytes = size
@@ -345,27 +331,16 @@
 
     def data_received(self, data: memoryview) -> None:
         """Parse the response; bytes that arrive while no request waits for one make the connection unusable."""
-        if self.attempt is None or self._parser is None:
+        if self.attempt is None:
             log.warning("unasked bytes from %s", self.host.address)
             self._close()
             return
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._error = "upgrade"
-        except httptools.HttpParserError as error:
-            self._error = str(error) or "malformed"
-        if not self._head_done:
-            self._raw_head_bytes += len(data)   # limits a head that never ends, which yields no header
-            if self._raw_head_bytes > 2 * MAX_HEAD_BYTES:
-                self._error = "head too long"
+        self._response.feed(data)
         self._process_response()
 
     def eof_received(self) -> None:
         """The host has closed its sending side, which ends a response without a length."""
-        if self.attempt is not None and self._head_done and self._length is None and not self._chunked \
-                and not self._error and not self._complete:
-            self._complete = True
+        if self.attempt is not None and self._response.end_of_stream():
             self._process_response()
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -378,75 +353,39 @@
             attempt.end(Outcome.RESET if self._written else Outcome.CONNECT_FAILED)
         self._pool.on_reusable(self)
 
-    # Parser callbacks.  They only record errors, as the parser would swallow an exception raised in a callback.
-
-    def on_message_begin(self) -> None:
-        if self._complete:
-            self._error = "more than one response"
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self._header_bytes += len(name) + len(value)
-        if self._header_bytes > MAX_HEAD_BYTES:
-            self._error = "head too long"
-        elif not self._head_done:   # trailers are ignored
-            self._headers.append((name, value.strip(b" \t")))   # the parser keeps trailing whitespace
-
-    def on_headers_complete(self) -> None:
-        self._head_done = True
-        for name, value in () if self._complete else self._headers:
-            lower = name.lower()
-            if lower == b"transfer-encoding":
-                self._chunked = True
-            elif lower == b"content-length":
-                if not value.isdigit() or int(value[:20]) > MAX_BODY_BYTES:
-                    self._error = "body too long"
-                else:
-                    self._length = int(value)
-
-    def on_body(self, body: bytes) -> None:
-        if self._complete:
-            return
-        self._body += body
-
-    def on_message_complete(self) -> None:
-        if self._parser.get_status_code() < 200:   # an interim response: the final one follows
-            self._headers.clear()
-            self._head_done = False
-            self._length, self._chunked = None, False
-        elif not self._error:   # never forward a response that is complete but malformed
-            self._complete = True
-            # Read here, as the parser resets it after this callback, and connections would never be reused.
-            self._keep_alive = self._parser.should_keep_alive()
-
     # Response handling.
 
     def _process_response(self) -> None:
-        attempt = self.attempt
+        attempt, response = self.attempt, self._response
         if attempt is None:
             return
-        is_long = self._streaming or len(self._body) > MAX_BUFFERED_BODY_BYTES \
-            or (self._length or 0) > MAX_BUFFERED_BODY_BYTES
-        if self._body and is_long and not self._error and not self._forward_body(attempt):
+        is_long = self._streaming or max(response.length or 0, len(response.body)) > MAX_BUFFERED_BODY_BYTES
+        if response.body and is_long and not response.error and not self._forward_body(attempt):
             return
-        if self._body and not is_long and not self._complete and self._length is None and not self._buffer_timer_set:
+        if response.body and not is_long and not response.complete and response.length is None \
+                and not self._buffer_timer_set:
             self._buffer_timer_set = True
             left = max(0, attempt.expires_at - now_ns())   # buffered until the deadline, it would be aborted
             self._pool.timers.after(min(UNKNOWN_LENGTH_BUFFER_NS, left // 4), self._on_buffer_timeout, attempt)
-        if not self._complete:
-            if self._error:
-                log.warning("malformed response from host %s: %s", self.host.address, self._error)
-                self.abandon(Outcome.RESET)
-            return
-        status = self._parser.get_status_code()
-        response = Response(status, self._headers, bytes(self._body))
-        self._body.clear()
+        if response.complete:
+            self._finish_response(attempt)
+        elif response.error:
+            log.warning("malformed response from host %s: %s", self.host.address, response.error)
+            self.abandon(Outcome.RESET)
+
+    def _finish_response(self, attempt: Attempt) -> None:
+        """End the attempt with its complete response."""
+        parsed = self._response
+        response = Response(parsed.status, parsed.headers, parsed.take_body())
         self._reserved_bytes = 0
         outcome = _outcome(response)
-        attempt.load_report = next((value for name, value in response.headers if name.lower() == LOAD_HEADER), b"")
+        attempt.load_report = _load_report(response)
         self.attempt = None
         self._detach_body()
         attempt.connection = None
-        if self._written and not self._error and self._keep_alive:
+        if parsed.has_surplus:
+            event(log, "bytes_after_response", host=self.host.address[1])
+        if self._written and not parsed.error and not parsed.has_surplus and parsed.keep_alive:
             self.pause(False)
             self._pool.release(self)
         else:
@@ -455,19 +394,19 @@
 
     def _forward_body(self, attempt: Attempt) -> bool:
         """Stream the response body to the receiver; False once the attempt has ended."""
+        parsed = self._response
         if not self._streaming:
-            status = self._parser.get_status_code()
-            if status != 200 or attempt.receiver is None:
-                self._error = "body too long"
+            if parsed.status != 200 or attempt.receiver is None:
+                parsed.error = "body too long"
                 return True
             self._streaming = True
             self._reserved_bytes = 0
-            attempt.load_report = next((value for name, value in self._headers if name.lower() == LOAD_HEADER), b"")
+            response = Response(parsed.status, parsed.headers, b"")
+            attempt.load_report = _load_report(response)
             attempt.response_started_at = now_ns()
-            if not attempt.receiver.begin_response(attempt, Response(status, self._headers, b""), self._length):
+            if not attempt.receiver.begin_response(attempt, response, parsed.length):
                 return False
-        data = bytes(self._body)
-        self._body.clear()
+        data = parsed.take_body()
         if attempt.receiver is not None and not attempt.done:
             attempt.receiver.write_body(attempt, data)
         return not attempt.done
@@ -479,8 +418,9 @@
     def start_streaming(self) -> bool:
         """Start streaming a response of unknown length, if a part of its body has arrived."""
         attempt = self.attempt
-        if attempt is None or attempt.receiver is None or not self._body or self._error \
-                or self._length is not None or self._parser.get_status_code() != 200:
+        response = self._response
+        if attempt is None or attempt.receiver is None or not response.body or response.error \
+                or response.length is not None or response.status != 200:
             return False
         self._forward_body(attempt)
         return True
@@ -528,8 +468,7 @@
     def release_memory(self) -> None:
         """The connection is closed: it holds nothing more."""
         self._is_removed = True
-        self._parser = None   # breaks a reference cycle, which would last until a garbage collection
-        self._body.clear()
+        self._response.close()
         self._account.update(0)
         self._response_account.update(0)
 
@@ -549,6 +488,11 @@
     close = _close
 
 
+def _load_report(response: Response) -> bytes:
+    """The load report in the headers of a response, unparsed; empty if there is none."""
+    return next((value for name, value in response.headers if name.lower() == LOAD_HEADER), b"")
+
+
 def _outcome(response: Response) -> Outcome:
     """The outcome of a response.  A 503 or 504 with `X-Not-Processed: 1` never ran; any status not named may have."""
     if response.status == 200:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -12,10 +12,11 @@
 from bridgesaddle.api import MS, SECOND, HostEntry, HostState, Outcome
 from gateway.attempt import Attempt, Response
 from gateway.memory import MemoryBudget
+from gateway.response_parser import MAX_HEAD_BYTES
 from gateway.stats import Stats
 from gateway.timers import Timers, now_ns
 from gateway.update_parser import ListedHost
-from gateway.upstream import MAX_HEAD_BYTES, Upstream
+from gateway.upstream import Upstream
 from tests.sockets import OK, FakeHost, GatewayHarness, request, run_scenario, wait_until_reusable
 
 HEAD = b"GET /read/x HTTP/1.1\r\nX-Request-ID: r1\r\n"
