Discovery: a list or change is used, whatever comes behind it in the same read

What callers saw: a change that was written together with bytes that can't be parsed, or a list with a second response behind it, was thrown away, though it counts as told: requests went on to draining hosts until the next call. Cause, the same as that of the responses: the call was ended by the parser's error before what precedes it was used; status and body of a second response were taken for those of the first (discovery_calls.py, data_received).

--- a/gateway/discovery_calls.py
+++ b/gateway/discovery_calls.py
@@ -115,14 +115,12 @@
         """Processes a part of the response."""
         if self.closed:
             return
-        try:
-            self._parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self._owner.end_call(self, f"malformed response: {error}")
-            return
+        malformed = self._parse(data)   # what has been received before it is used all the same
         self._received_bytes += len(data)
         if not self._status:   # the head may arrive in parts
-            if self._received_bytes > MAX_HEAD_BYTES:
+            if malformed:
+                self._owner.end_call(self, malformed)
+            elif self._received_bytes > MAX_HEAD_BYTES:
                 self._owner.end_call(self, "response head too long")
             return
         if self._status != 200:
@@ -137,9 +135,19 @@
             self._owner.on_malformed(self, error)
         if self._is_complete:
             self._owner.end_call(self, "the response has ended", failed=self._watch)
+        elif malformed:
+            self._owner.end_call(self, malformed)
         elif self._splitter.is_incomplete and not self.closed:
             self._owner.on_incomplete(self)
 
+    def _parse(self, data: bytes) -> str:
+        """Parses a part of the response; returns why it is malformed, else an empty string."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            return f"malformed response: {error}"
+        return ""
+
     def _process_body(self) -> None:
         """Passes complete updates to the owner."""
         if self._watch:
@@ -152,11 +160,15 @@
             if not self.closed:
                 self._owner.on_update(self, text)
 
+    # Callbacks of the parser, which also parses bytes behind the response: they are ignored.
+
     def on_headers_complete(self) -> None:
-        self._status = self._parser.get_status_code()
+        if not self._is_complete:
+            self._status = self._parser.get_status_code()
 
     def on_body(self, body: bytes) -> None:
-        self._body += body
+        if not self._is_complete:
+            self._body += body
 
     def on_message_complete(self) -> None:
         self._is_complete = True
--- a/tests/test_after_response.py
+++ b/tests/test_after_response.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import pytest
 
-from bridgesaddle.api import Outcome
+from bridgesaddle.api import HostState, ListKind, Outcome
 from tests.sockets import OK, Client, FakeHost, GatewayHarness, request, run_scenario, wait_until
+from tests.test_discovery import ROW, DiscoveryHarness
 from tests.test_long import CHUNKED, chunks, read_chunks
 from tests.test_upstream import UpstreamHarness
 
@@ -133,3 +135,35 @@
                 seen.writer.close()
                 assert await read_body(client) == (200, body)
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("following", FOLLOWING)
+def test_a_complete_list_is_used_whatever_follows_it(following: str) -> None:
+    """Guards against the loss of a list that discovery has told, by bytes that it sends behind it."""
+    async def scenario() -> None:
+        harness = DiscoveryHarness()
+        fake, discovery = await harness.start()
+        discovery.fetch()
+        _, writer = await fake.calls.get()
+        body = json.dumps({"generation": 50, "reset": True, "instances": [ROW]}).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body + FOLLOWING[following])
+        kind, listed = await harness.reported.get()
+        assert (kind, len(listed), discovery.generation) == (ListKind.FULL, 1, 50)
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("following", [b"z\r\n", b"0\r\n\r\n", b"0\r\n\r\n" + OK, b"0\r\n\r\nHTTP/1.1 503"])
+def test_a_change_is_used_if_its_watch_breaks_behind_it(following: bytes) -> None:
+    """Guards against sending to a draining host, as the end of the watch came in one read with the drain."""
+    async def scenario() -> None:
+        harness = DiscoveryHarness()
+        fake, discovery = await harness.start()
+        discovery.watch(True)
+        _, writer = await fake.calls.get()
+        fake.send_head(writer)
+        line = json.dumps({"generation": 43, "reset": False, "instances": [{**ROW, "lifecycle": "terminating"}]}) + "\n"
+        writer.write(b"%x\r\n%b\r\n" % (len(line), line.encode()) + following)
+        kind, [item] = await harness.reported.get()
+        assert (kind, item.entry.state) == (ListKind.DELTA, HostState.DRAINING)
+        assert await harness.reported.get() == (ListKind.FAILED, [])   # the watch has ended
+    run_scenario(scenario)
