Gateway: a head behind a long message in one read is not too long

What callers saw: 431 and a close for a sound request whose head began behind an upload, or behind 60 kB, in the same read. Cause: all bytes of the read counted as part of the unfinished head (client_connection.py, data_received). Change: the bytes are counted by the pieces that are fed to the parser, from the piece after that in which the head began. Evidence: a test in test_after_response.py, 2 of 3 cases failed before, all hold. test_server, test_memory, test_turns pass.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -132,6 +132,7 @@
         self._head_bytes = 0   # of the fields so far
         self._raw_head_bytes = 0
         self._in_head = False
+        self._head_began = False   # in the piece that is being parsed
         self._in_message = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -291,10 +292,6 @@
             self._parse(data)
         except httptools.HttpParserError as error:
             self._error = self._error or BadRequest(400, f"malformed: {error}")
-        if self._in_head and self._error is None:
-            self._raw_head_bytes += len(data)   # limits a head that never ends, which yields no header
-            if self._raw_head_bytes + self._head_bytes > 2 * MAX_HEAD_BYTES:
-                self._error = BadRequest(431, "a head too long")
         if self._error is not None and not self.discarding:
             self._reject(self._error)
         if self._streamed_body is not None or len(self._body) > MAX_BUFFERED_BODY_BYTES:
@@ -322,8 +319,15 @@
                 head = self._head_without_offer()
                 self._parser = httptools.HttpRequestParser(self)
                 self._parser.feed_data(head)
-            if self._parser_bytes > MAX_HEAD_BYTES:
-                self._error = self._error or BadRequest(431, "a head too long")
+            self._limit_head(len(piece))
+
+    def _limit_head(self, piece_bytes: int) -> None:
+        """Limit a head that never ends, which may yield no header; so many bytes have been parsed."""
+        if self._in_head and not self._head_began:   # else the piece may have bytes of earlier messages
+            self._raw_head_bytes += piece_bytes
+        self._head_began = False
+        if max(self._parser_bytes, (self._raw_head_bytes + self._head_bytes) // 2) > MAX_HEAD_BYTES:
+            self._error = self._error or BadRequest(431, "a head too long")
 
     def _parser_piece_bytes(self, size: int) -> int:
         """How many of the next bytes to feed at once: the parser keeps a field that they begin and do not end."""
@@ -443,7 +447,7 @@
 
     def on_message_begin(self) -> None:
         self._reset_message()
-        self._in_head = self._in_message = True
+        self._in_head = self._in_message = self._head_began = True
         if self._had_request:   # the first request's time runs from the connect
             self.state_since = now_ns()
 
--- a/tests/test_after_response.py
+++ b/tests/test_after_response.py
@@ -167,3 +167,20 @@
         assert (kind, item.entry.state) == (ListKind.DELTA, HostState.DRAINING)
         assert await harness.reported.get() == (ListKind.FAILED, [])   # the watch has ended
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("size", [20, 60_000, 300_000])
+def test_a_head_that_begins_behind_a_long_message_is_not_too_long(size: int) -> None:
+    """Guards against counting the bytes of earlier requests in the same read as part of the next head (431)."""
+    async def scenario() -> None:
+        async with GatewayHarness() as harness:
+            host = FakeHost()
+            await harness.start(host)
+            client = await harness.client()
+            for number in range(10):
+                first, second = (request("keyed", rid=f"{name}{number}", body=b"b" * size) for name in "ab")
+                client.send(first + second[:60])
+                assert (await client.read_response())[0] == 200
+                client.send(second[60:])
+                assert (await client.read_response())[0] == 200
+    run_scenario(scenario)
