Gateway: an attempt that is given up is reset, and has come only when its host confirms it

Cause: written() stood for two questions. At the client's close the whole body had left the process and 2.5 MB were in the kernel's send queue, so nothing was cancelled (core.py, on_client_half_closed; upstream.py, _on_write_deadline); and a close in order has the kernel send the queue all the same. The end of a client's stream may also be behind data that is not read: it is looked for before the last bytes of an upload go on. Change: may_have_run and has_arrived (SIOCOUTQ); a connection with unconfirmed bytes is reset when it is closed.

--- a/gateway/attempt.py
+++ b/gateway/attempt.py
@@ -8,6 +8,7 @@
 from bridgesaddle.api import MS, HostId, Outcome
 
 from .body import Body
+from .memory import SMALL_BYTES
 from .timers import NO_DEADLINE_NS, Timer
 
 if TYPE_CHECKING:
@@ -80,18 +81,22 @@
         head, body = self.payload
         return b"%bX-Timeout-Ms: %d\r\n\r\n%b" % (head, max(1, (self.expires_at - now) // MS), body)
 
+    def is_long(self) -> bool:
+        """Whether its request is longer than a small one, so that the kernel may hold its end for long."""
+        return self.body is not None or len(self.payload[1]) > SMALL_BYTES
+
     def pause(self, paused: bool) -> None:
         """Pause or resume reading the response."""
         if self.connection is not None:
             self.connection.pause(paused)
 
-    def connected(self) -> bool:
-        """Whether its connection has been established."""
-        return self.connection is not None and self.connection.transport is not None
+    def may_have_run(self) -> bool:
+        """Whether its host may have the request's last byte: it has been written to the socket."""
+        return self.connection is not None and self.connection.written
 
-    def written(self) -> bool:
-        """Whether the request's last byte has been written to the socket."""
-        return self.connection is not None and self.connection.written()
+    def has_arrived(self) -> bool:
+        """Whether its host's machine surely has the request's last byte: it has confirmed it."""
+        return self.connection is not None and self.connection.has_arrived()
 
     def end(self, outcome: Outcome, response: Response | None = None) -> None:
         """Report the outcome, once."""
--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import logging
-import socket
-import struct
 from collections import deque
 from typing import TYPE_CHECKING, Any, cast
 
@@ -31,7 +29,7 @@
     Account,
     MemoryKind,
 )
-from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events, unread_bytes
+from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events, reset_on_close, unread_bytes
 from .timers import now_ns
 from .turns import REQUEST_WORK, TurnSize
 from .upstream import MAX_BUFFERED_BODY_BYTES, STREAM_STALL_TIMEOUT_NS
@@ -403,7 +401,7 @@
         if events & CONNECTION_LOST_EVENTS:
             transport.abort()
         elif events & PEER_CLOSED_EVENTS:
-            self._on_half_close()
+            self._on_half_close(now_ns())
         return not events & PEER_CLOSED_EVENTS
 
     def is_half_closed(self) -> bool:
@@ -412,14 +410,14 @@
         return self.half_closed or transport is None or transport.is_closing() \
             or bool(pending_events(transport) & PEER_CLOSED_EVENTS)
 
-    def _on_half_close(self) -> None:
-        """The client has shut down its sending side: attempts in flight may still answer it, no new one is made."""
+    def _on_half_close(self, since: int) -> None:
+        """The client has shut down its sending side, at this time at the earliest: no new attempt is made for it."""
         self.half_closed = True
         if not self.lingering:
             self.server.note_half_closed(self)
         for exchange in list(self._exchanges):
             if not exchange.started and exchange.request is not None:
-                self.server.core.on_client_half_closed(exchange.request)
+                self.server.core.on_client_half_closed(exchange.request, since)
 
     def _reject(self, error: BadRequest) -> None:
         """Nothing more can be read from this client: send one error response in order, then close."""
@@ -557,6 +555,8 @@
         streamed_body, exchange, data = self._streamed_body, self._streamed_exchange, bytes(self._body)
         self._reset_message()
         if streamed_body is not None and exchange is not None:
+            if not self.half_closed and self.is_half_closed():   # it may have left while the body was not read
+                self._on_half_close(streamed_body.may_be_complete_since(now_ns()))
             if data:
                 streamed_body.feed(data)
             if not streamed_body.dropped:
@@ -571,7 +571,7 @@
         if self._streamed_exchange is not None and self._in_message and not self.discarding:
             self._reject(BadRequest(400, "the body was cut short"))
         self._eof_read = self.discarding = True
-        self._on_half_close()
+        self._on_half_close(now_ns())
         return bool(self._exchanges)
 
     def flush(self) -> None:
@@ -628,9 +628,8 @@
         Where the close marks the end of the body, an orderly close would make the response look complete.
         """
         if self.transport is not None:
-            sock = self.transport.get_extra_info("socket")
-            if sock is not None and not self.transport.is_closing():
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            if not self.transport.is_closing():
+                reset_on_close(self.transport)
             self.transport.abort()
 
     def _linger(self) -> None:
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -45,8 +45,8 @@
 """
 FALLBACK_MARGIN_NS = 3 * MS
 """The gateway sends an error response this long before the client's timeout if the module has not decided."""
-HALF_CLOSED_CONNECT_NS = 50 * MS
-"""Time after the client has shut down its sending side within which a pending attempt may still connect to its host.
+HALF_CLOSED_GRACE_NS = 50 * MS
+"""Time after the client has shut down its sending side within which an attempt's last byte may still reach its host.
 
 No attempt may begin later than 0.1 s after its client has left; server.py may take `UNREAD_POLL_INTERVAL_NS` to notice
 that.
@@ -448,19 +448,20 @@
             self._queue_event(self._module.on_client_disconnected, request, request.rid)
             self._end_request(request)
 
-    def on_client_half_closed(self, request: Request) -> None:
-        """The client has shut down its sending side.
+    def on_client_half_closed(self, request: Request, since: int) -> None:
+        """The client has shut down its sending side, at this time at the earliest.
 
-        It may have gone or may still wait for its response; the two can't be told apart.  So attempts in flight may
-        still answer it, and no new attempt is made.
+        It may have gone or may still wait for its response; the two can't be told apart.  So attempts that have reached
+        their hosts may still answer it, others are cancelled, and no new attempt is made.
         """
         request.client_half_closed = True
+        cancel_at = since + HALF_CLOSED_GRACE_NS
         if not request.in_flight and not request.streamed:
             self._fail_request(request)
-        elif self._may_be_delayed():   # it may have left much earlier
-            self._cancel_unconnected(request)
-        elif not all(attempt.connected() for attempt in request.in_flight.values()):
-            self._timers.after(HALF_CLOSED_CONNECT_NS, self._cancel_unconnected, request)
+        elif self._may_be_delayed() or now_ns() >= cancel_at:   # it may have left much earlier
+            self._cancel_not_arrived(request)
+        elif not all(attempt.has_arrived() for attempt in request.in_flight.values()):
+            self._timers.at(cancel_at, self._cancel_not_arrived, request)
 
     def accept_delayed_since(self) -> int:
         """Since when a connection that is accepted now may have been waiting; 0: it has not."""
@@ -479,10 +480,10 @@
             return True
         return False
 
-    def _cancel_unconnected(self, request: Request) -> None:
-        """Cancel attempts that are still connecting, as their client may be gone by the time they connect."""
+    def _cancel_not_arrived(self, request: Request) -> None:
+        """Cancel attempts whose last byte has not reached their host: it would begin them after the client has gone."""
         for attempt in list(request.in_flight.values()):
-            if not attempt.connected():
+            if not attempt.response_started_at and not attempt.has_arrived():
                 self.upstream.cancel(attempt)
 
     @property
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -36,7 +36,7 @@
 UNREAD_POLL_INTERVAL_NS = 30 * MS
 """Interval of the check whether a client has gone while its connection is not read.
 
-Detection takes up to this long in addition to `HALF_CLOSED_CONNECT_NS` of core.py.
+Detection takes up to this long in addition to `HALF_CLOSED_GRACE_NS` of core.py.
 """
 MIN_STALL_NS = 500 * MS
 """A connection in the middle of a message may be closed in favour of others after this long without data."""
--- a/gateway/syscalls.py
+++ b/gateway/syscalls.py
@@ -10,6 +10,7 @@
 import fcntl
 import os
 import select
+import socket
 import struct
 import termios
 import time
@@ -60,6 +61,37 @@
     return int(struct.unpack("i", answer)[0])
 
 
+SIOCOUTQNSD = 0x894B
+"""The request of `ioctl` for a socket's bytes that have not been sent yet (linux/sockios.h)."""
+
+
+def unconfirmed_bytes(fd: int) -> int:
+    """Return how many written bytes of an open connection its peer's machine has not confirmed (SIOCOUTQ, tcp(7)).
+
+    They may have come, or may come yet, unless the connection is reset.  0 if the kernel does not tell.
+    """
+    return _queue_bytes(fd, termios.TIOCOUTQ)
+
+
+def unsent_bytes(fd: int) -> int:
+    """Return how many written bytes of an open connection the kernel has not sent; 0 if it does not tell."""
+    return _queue_bytes(fd, SIOCOUTQNSD)
+
+
+def _queue_bytes(fd: int, which: int) -> int:
+    try:
+        return int(struct.unpack("i", fcntl.ioctl(fd, which, bytes(4)))[0])
+    except OSError:
+        return 0
+
+
+def reset_on_close(transport: asyncio.BaseTransport) -> None:
+    """Have the close of an open connection reset it: the kernel drops what it has not sent (SO_LINGER, socket(7))."""
+    sock = transport.get_extra_info("socket")
+    if sock is not None:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 MAX_READ_BYTES = 28 * 1024
 """Maximum that one call reads ahead of the event loop; memory for as much is allocated even if nothing is pending."""
 
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -2,6 +2,8 @@
 
 An attempt uses a connection exclusively until it ends.  The outcome of a failed attempt depends on whether the last
 byte of the request had been written to the socket: before that the request can't have run, afterwards it may have.
+Whether its host has that byte is another question, as the kernel may hold it for long: `has_arrived`.  A connection
+that is closed before is reset, so that the kernel drops what it holds.
 """
 
 from __future__ import annotations
@@ -27,7 +29,7 @@
 )
 from .response_parser import ResponseParser
 from .stats import Stats
-from .syscalls import pending_events, write_before
+from .syscalls import pending_events, reset_on_close, unconfirmed_bytes, unsent_bytes, write_before
 from .timers import Timer, Timers, now_ns
 from .transient import LOCAL_ERRNOS
 from .update_parser import ListedHost
@@ -65,6 +67,8 @@
                         b"proxy-connection"))
 """Headers that apply to one connection only, or that the gateway generates itself."""
 
+CONFIRMATION_DELAY_NS = 45 * MS
+"""Longest time in which a host's machine confirms what has come: on a fast network Linux delays that by 40 ms."""
 SEND_CHECK_VALID_NS = 5 * MS
 """How long the check that an attempt may be sent stays valid.
 
@@ -105,7 +109,8 @@
         self.idle_since = 0
         self.local_error = False   # connecting fails for a local reason, not because of the host
         self._response = ResponseParser()
-        self._written = False
+        self.written = False   # the last byte of the attempt's request has been written to the socket
+        self._has_arrived = False   # the host's machine has confirmed that byte
         self._fd = -1
         self._request_body: Body | None = None   # streamed body that is being sent
         self._paused = False   # by its client
@@ -120,6 +125,7 @@
 
     def _reset(self) -> None:
         self._response.reset()
+        self._has_arrived = False
         self._streaming = False
         self._buffer_timer_set = False
         self._reserved_bytes = 0
@@ -168,7 +174,7 @@
     def reserve(self, attempt: Attempt) -> None:
         """Reserve the connection for an attempt, to be sent once the reuse delay is over."""
         self.reserved_for = attempt
-        self._written = False
+        self.written = False
         attempt.connection = self
 
     def is_reusable(self) -> bool:
@@ -197,7 +203,7 @@
     def _write(self, attempt: Attempt) -> None:
         transport = self.transport
         assert transport is not None
-        self._written = False
+        self.written = False
         self.write_blocked = False
         self._request_body = attempt.body
         while self._may_write(attempt):
@@ -272,8 +278,8 @@
             self._request_body.update_reading()
 
     def _on_request_written(self) -> None:
-        if not self._written:
-            self._written = True
+        if not self.written:
+            self.written = True
             if self._request_body is not None and self.attempt is not None:
                 self.attempt.started_at = now_ns()   # a host starts work at the last byte
             if self.attempt is not None and not self.attempt.probe:
@@ -350,7 +356,7 @@
         attempt, self.attempt = self.attempt, None
         self._detach_body()
         if attempt is not None:
-            attempt.end(Outcome.RESET if self._written else Outcome.CONNECT_FAILED)
+            attempt.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
         self._pool.on_reusable(self)
 
     # Response handling.
@@ -380,12 +386,14 @@
         self._reserved_bytes = 0
         outcome = _outcome(response)
         attempt.load_report = _load_report(response)
+        is_reusable = self.written and not parsed.error and not parsed.has_surplus and parsed.keep_alive \
+            and (not attempt.is_long() or self.has_arrived())
         self.attempt = None
         self._detach_body()
         attempt.connection = None
         if parsed.has_surplus:
             event(log, "bytes_after_response", host=self.host.address[1])
-        if self._written and not parsed.error and not parsed.has_surplus and parsed.keep_alive:
+        if is_reusable:
             self.pause(False)
             self._pool.release(self)
         else:
@@ -472,13 +480,22 @@
         self._account.update(0)
         self._response_account.update(0)
 
-    def written(self) -> bool:
-        """Whether the request's last byte has been written to the socket."""
-        return self._written
+    def has_arrived(self) -> bool:
+        """Whether the host's machine has confirmed the request's last byte; makes a system call until it has."""
+        if self.written and not self._has_arrived and self._is_open():
+            self._has_arrived = not unconfirmed_bytes(self._fd)
+        return self._has_arrived
+
+    def has_unsent(self) -> bool:
+        """Whether a part of the request is still here: the host's machine takes no more for now."""
+        return not self.written or (self._is_open() and unsent_bytes(self._fd) > 0)
 
     def _close(self) -> None:
-        if self.transport is not None:
-            self.transport.abort()
+        transport = self.transport
+        if transport is not None:
+            if not transport.is_closing() and unconfirmed_bytes(self._fd):
+                reset_on_close(transport)   # else the kernel would go on sending what it holds
+            transport.abort()
         else:
             self._pool.remove(self)
             task, self.task = self.task, None   # its result refers to this connection
@@ -656,12 +673,25 @@
         """The attempt's deadline has passed.  It has timed out if it was sent; otherwise it never ran."""
         if attempt.response_started_at or (attempt.connection is not None and attempt.connection.start_streaming()):
             return   # a streamed response has no deadline
-        self._end_attempt(attempt, Outcome.TIMEOUT if attempt.written() else Outcome.CONNECT_FAILED)
+        self._end_attempt(attempt, Outcome.TIMEOUT if attempt.may_have_run() else Outcome.CONNECT_FAILED)
 
     def _on_write_deadline(self, attempt: Attempt) -> None:
-        """Stop a retry whose last byte is not written yet: its host would begin it after the retry window."""
-        if not attempt.done and not attempt.written():
-            self._end_attempt(attempt, Outcome.MOOT)   # not the host's fault: it may have had only some milliseconds
+        """Stop a retry whose last byte is still here: its host would begin it after the retry window."""
+        if attempt.done or attempt.has_arrived():
+            return
+        if attempt.connection is None or attempt.connection.has_unsent():
+            self._stop_late(attempt)
+        else:
+            attempt.timers.append(self.timers.after(CONFIRMATION_DELAY_NS, self._on_confirmation_due, attempt))
+
+    def _on_confirmation_due(self, attempt: Attempt) -> None:
+        """Stop a retry that was sent in time and is still not confirmed: the network may deliver it much later."""
+        if not attempt.done and not attempt.has_arrived():
+            self._stop_late(attempt)
+
+    def _stop_late(self, attempt: Attempt) -> None:
+        """End a retry at its write deadline; not the host's fault, as it may have had only some milliseconds."""
+        self._end_attempt(attempt, Outcome.CANCELLED if attempt.may_have_run() else Outcome.MOOT)
 
     def _end_attempt(self, attempt: Attempt, outcome: Outcome) -> None:
         if attempt.connection is not None:
@@ -733,7 +763,7 @@
         """Close connections idle for too long, well before the host does, and abort stalled streams."""
         for connection in [connection for connection in self._connections if connection.stalled(now)]:
             log.warning("closing a stalled stream to or from host %s", connection.host.address)
-            connection.abandon(Outcome.RESET if connection.written() else Outcome.CONNECT_FAILED)
+            connection.abandon(Outcome.RESET if connection.written else Outcome.CONNECT_FAILED)
         for host in self._hosts.values():
             while host.idle and now - host.idle[0].idle_since >= self._idle_timeout_ns:
                 host.idle.pop(0).close()
--- a/tests/test_unread_body.py
+++ b/tests/test_unread_body.py
@@ -95,7 +95,8 @@
                 part, data = data[:len(buffer)], data[len(buffer):]
                 buffer[:len(part)] = part
                 connection.buffer_updated(len(part))
-                await wait_until(lambda: all(item.connected() for request in core.open_requests()
+                await wait_until(lambda: all(item.connection is not None and item.connection.transport is not None
+                                             for request in core.open_requests()
                                              for item in request.in_flight.values()))
             (time_left,) = RecordsTimeLeft.times_left
             client.writer.close()
