Gateway: a client that closes keeps its time to read, and a stalled response ends by a reset

Change: the second runs from when the client's machine has confirmed all; a stall of 10 s resets the connection and is logged.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -29,7 +29,14 @@
     Account,
     MemoryKind,
 )
-from .syscalls import CONNECTION_LOST_EVENTS, PEER_CLOSED_EVENTS, pending_events, reset_on_close, unread_bytes
+from .syscalls import (
+    CONNECTION_LOST_EVENTS,
+    PEER_CLOSED_EVENTS,
+    pending_events,
+    reset_on_close,
+    unconfirmed_bytes,
+    unread_bytes,
+)
 from .timers import now_ns
 from .turns import REQUEST_WORK, TurnSize
 from .upstream import MAX_BUFFERED_BODY_BYTES, STREAM_STALL_TIMEOUT_NS
@@ -101,6 +108,7 @@
         self._write_blocked_since = 0
         self._written_bytes = 0   # size of the last block that was written
         self._last_unsent_bytes = 0   # size of the write buffer at the last sweep while writing was blocked
+        self._last_unconfirmed_bytes = 0   # at the last sweep while lingering
         self._parser_bytes = 0   # at most so much is kept by the parser, of a field that is not complete
         self._streamed_exchange: Exchange | None = None   # of a request whose body is being streamed
         self._streamed_body: Body | None = None
@@ -695,15 +703,33 @@
                 self.server.note_blocked(self, True)
                 self._update_account()
         if self._write_blocked_since and now - self._write_blocked_since > STREAM_STALL_TIMEOUT_NS:
-            self.transport.abort()
+            event(log, "client_reset", why="it reads nothing", unsent=unsent_bytes,
+                  blocked_ns=now - self._write_blocked_since)
+            self.reset()
         elif self.lingering:
-            if waited > LINGER_TIMEOUT_NS:
-                self.transport.abort() if self._write_blocked_since else self.transport.close()
+            self._sweep_lingering(now)
         elif self._in_message and not self.discarding and self._too_slow(now):
             self._reject(BadRequest(408, "the request was too slow"))
         elif self.between_requests() and waited > self._idle_timeout() and not self.close_if_idle():
             self.server.sweep_after(NEW_CONNECTION_GRACE_NS, self)   # again: its unread bytes may be no request
 
+    def _sweep_lingering(self, now: int) -> None:
+        """Close the connection after the time for the client to close, which runs from when it has the last byte."""
+        unconfirmed = self._unconfirmed_bytes()
+        if unconfirmed != self._last_unconfirmed_bytes:   # it reads, if slowly
+            self._last_unconfirmed_bytes = unconfirmed
+            self.state_since = now
+        timeout = STREAM_STALL_TIMEOUT_NS if unconfirmed else LINGER_TIMEOUT_NS
+        if self.transport is not None and now - self.state_since > timeout:
+            self.transport.close()
+
+    def _unconfirmed_bytes(self) -> int:
+        """Bytes that have been written to the kernel and that the client's machine has not confirmed."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return 0
+        return unconfirmed_bytes(transport.get_extra_info("socket").fileno())
+
     def _too_slow(self, now: int) -> bool:
         """Whether the head exceeds its timeout or the body its minimum rate, not counting pauses of reading."""
         if self._in_head or not self._body_started_at:
