Gateway: a response that has begun goes on after SIGTERM until it is whole

Cause: fail_all aborted streamed responses as well, which have no deadline any more, and _exit_when_idle ended the process 0.3 s later whatever was unsent. Change: responses that have begun are left out; the process ends 0.3 s after the last is whole, broken or stalled (10 s, as before SIGTERM). From the time at which it used to end it has no calls to discovery, no peers' socket and no file for hand-overs. Uploads without a response are failed as before, with a close. Metric responses_in_progress, events shutdown_waits, shutdown_ends.

--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -678,8 +678,12 @@
         return not self._write_blocked_since and self.is_first(exchange)
 
     def is_last(self, exchange: Exchange) -> bool:
-        """Whether no data has arrived after this request, so that its response may close the connection."""
-        return not self._in_message and bool(self._exchanges) and self._exchanges[-1] is exchange
+        """Whether no data has arrived after this request, so that its response may close the connection.
+
+        The rest of its own body is no such data once the process is about to exit.
+        """
+        is_sending = self._in_message and not (self.refuses_requests and exchange is self._streamed_exchange)
+        return not is_sending and bool(self._exchanges) and self._exchanges[-1] is exchange
 
     @property
     def streams(self) -> int:
@@ -730,6 +734,13 @@
             return 0
         return unconfirmed_bytes(transport.get_extra_info("socket").fileno())
 
+    def is_responding(self) -> bool:
+        """Whether a response has begun that the client's machine does not have whole."""
+        if self.transport is None:
+            return False
+        return self.transport.get_write_buffer_size() > 0 or any(exchange.started for exchange in self._exchanges) \
+            or self._unconfirmed_bytes() > 0
+
     def _too_slow(self, now: int) -> bool:
         """Whether the head exceeds its timeout or the body its minimum rate, not counting pauses of reading."""
         if self._in_head or not self._body_started_at:
--- a/gateway/core.py
+++ b/gateway/core.py
@@ -501,9 +501,10 @@
                     if request.exchange is not None and request.fallback_at < NO_DEADLINE_NS), default=0)
 
     def fail_all(self) -> None:
-        """The process is about to exit: answer all open requests with an error."""
+        """The process is about to exit: answer all open requests with an error, unless their response has begun."""
         for request in self.open_requests():
-            self._fail_request(request)
+            if not request.streamed:
+                self._fail_request(request)
 
     def _send_fallback(self, request: Request) -> None:
         """Fail a request that the module has not decided on shortly before the client's timeout."""
--- a/gateway/discovery.py
+++ b/gateway/discovery.py
@@ -235,7 +235,7 @@
 
     def fetch(self) -> None:
         """Requests the full list once."""
-        if self._list_call is None:
+        if self._list_call is None and not self._closed:
             self._list_call = self._start_call(False)
 
     def _watch_after(self, delay_ns: int) -> None:
--- a/gateway/failover.py
+++ b/gateway/failover.py
@@ -250,5 +250,5 @@
         super().close()
         self._write(None)
         if self._thread is not None:
-            self._thread.shutdown()
+            self._thread.shutdown(wait=False)   # a write that hangs ends at the exit at the latest
             self._thread = None
--- a/gateway/peers.py
+++ b/gateway/peers.py
@@ -24,6 +24,7 @@
         self._broadcast_address = broadcast_address
         self._on_message = on_message
         self._transport: asyncio.DatagramTransport | None = None
+        self._closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.DatagramTransport, transport)   # uvloop's transport is not a subclass
@@ -38,7 +39,11 @@
 
     def send(self, peer: int | None, content: bytes) -> None:
         """Sends to one peer, or to all if None.  A message that is too long or has no recipient is logged and dropped.
+
+        After `close` nothing is sent.
         """
+        if self._closed:
+            return
         to = self._broadcast_address if peer is None else (
             self._peers[peer] if 0 <= peer < len(self._peers) else None)
         if self._transport is None or to is None or len(content) > MAX_MESSAGE_BYTES:
@@ -48,5 +53,6 @@
 
     def close(self) -> None:
         """Closes the socket at shutdown."""
+        self._closed = True
         if self._transport is not None:
             self._transport.close()
--- a/gateway/program.py
+++ b/gateway/program.py
@@ -63,7 +63,9 @@
 SIGKILL may arrive 0.7 s after that deadline, where a longer deadline counts as 3 s.
 """
 CLIENT_CLOSE_TIMEOUT_NS = 300 * MS
-"""Maximum time that clients have to read their responses and to close after open requests have been failed."""
+"""Maximum time that clients have to close after open requests have been failed and all responses have been read."""
+EXIT_CHECK_INTERVAL_NS = 20 * MS
+"""Interval of the checks whether a shutdown is complete."""
 RESERVED_DESCRIPTORS = 48
 """Descriptors reserved for everything except connections of clients and to hosts."""
 CLIENT_SHARE = 0.55
@@ -241,6 +243,8 @@
         self._stopped = asyncio.Event()
         self._stopping_since_ns = 0
         self._fail_requests_at_ns = 0
+        self._exit_at_ns = 0   # at the latest, unless responses are still being given
+        self._detached = False   # only the responses that have begun are left to do
 
     def _on_lease(self) -> None:
         """The lease may have changed.  While discovery is down, the configured list has to suffice to start serving."""
@@ -395,14 +399,18 @@
             **self.memory.metrics(), "memory_refused": self.server.memory_refused,
             "memory_closed": self.server.memory_closed, **self.memory_pressure.metrics(),
             "responses_delayed": self.upstream.responses_delayed,
+            "responses_in_progress": self.server.responses_in_progress,
             "hold_ups": self.stall_detector.count, "hold_ups_ms": self.stall_detector.total_ns // MS,
             "hold_up_longest_ms": self.stall_detector.longest_ns // MS})
 
     def reload(self) -> None:
         """Handle SIGHUP: apply new settings and discovery addresses; an invalid file changes no setting.
 
-        The lease is bounded in any case: discovery may have moved.
+        The lease is bounded in any case: discovery may have moved.  Ignored once only begun responses are left to do.
         """
+        if self._detached:
+            log.info("SIGHUP: ignored, as the program is about to exit")
+            return
         self.discovery.on_reload()
         self._reload(backoff_delays(MAX_CONFIG_RETRY_S))
 
@@ -444,6 +452,7 @@
         max_time_left_ns = max([cls.deadline_ns for cls in self._settings.classes] + [self.core.max_time_left(now)])
         self._fail_requests_at_ns = (self._stopping_since_ns + min(max_time_left_ns, MAX_SHUTDOWN_DEADLINE_NS)
                                      + SHUTDOWN_MARGIN_NS)
+        self._exit_at_ns = self._fail_requests_at_ns + CLIENT_CLOSE_TIMEOUT_NS
         self._list_wait_over.set()
         self._set_draining(True)
         self.server.taken_over = self.handover.other_serving()
@@ -459,22 +468,45 @@
         self._exit_when_idle(None)
 
     def _exit_when_idle(self, _: None) -> None:
-        """Exit once no connection is open, at the latest CLIENT_CLOSE_TIMEOUT_NS after open requests are failed."""
+        """Exit once no connection is open, at the latest CLIENT_CLOSE_TIMEOUT_NS after the last response.
+
+        Requests without a response are failed at their time.  A response that has begun goes on until it is complete,
+        its client or its host ends it, or it stalls: SIGKILL may come much later, or never.
+        """
         now = now_ns()
         if now > self._fail_requests_at_ns:
-            self.core.fail_all()
             self.server.shut_down()
+            self.core.fail_all()
+        in_progress = self.server.responses_in_progress
+        if in_progress:
+            self._exit_at_ns = max(self._exit_at_ns, now + CLIENT_CLOSE_TIMEOUT_NS)
+            if now > self._fail_requests_at_ns + CLIENT_CLOSE_TIMEOUT_NS:
+                self._detach(in_progress)
         accepting = self._listener is not None and self._listener.has_pending
-        if not (self.server.connection_count or accepting) or now > self._fail_requests_at_ns + CLIENT_CLOSE_TIMEOUT_NS:
-            self.handover.close()
-            self.admin.close()
-            self.discovery.close()
-            self.upstream.close()
-            if self.core.peers is not None:
-                self.core.peers.close()
-            self._stopped.set()
+        if now > self._exit_at_ns or not (self.server.connection_count or accepting):
+            self._exit()
         else:
-            self.timers.after(20 * MS, self._exit_when_idle, None)
+            self.timers.after(EXIT_CHECK_INTERVAL_NS, self._exit_when_idle, None)
+
+    def _detach(self, in_progress: int) -> None:
+        """Give up all that begun responses do not need, so that it is not in the way of the next process."""
+        if self._detached:
+            return
+        self._detached = True
+        if in_progress:
+            event(log, "shutdown_waits", responses=in_progress, since_ns=now_ns() - self._stopping_since_ns)
+        self.handover.close()
+        self.discovery.close()
+        if self.core.peers is not None:
+            self.core.peers.close()
+
+    def _exit(self) -> None:
+        event(log, "shutdown_ends", connections=self.server.connection_count,
+              since_ns=now_ns() - self._stopping_since_ns)
+        self._detach(0)
+        self.admin.close()
+        self.upstream.close()
+        self._stopped.set()
 
 
 def _initial_config() -> Config:
--- a/gateway/server.py
+++ b/gateway/server.py
@@ -317,6 +317,11 @@
         """Number of connections with an open or partly received request."""
         return sum(1 for connection in self._connections if not connection.between_requests())
 
+    @property
+    def responses_in_progress(self) -> int:
+        """Number of connections with a response that has begun and that the client's machine does not have whole."""
+        return sum(1 for connection in self._connections if connection.is_responding())
+
     @property
     def connection_count(self) -> int:
         """Number of open connections."""
