Gateway: a request that waits for its connection has not arrived

Change: nothing has arrived that is not written. A reset that the kernel refuses to prepare does not stop the close.

--- a/gateway/syscalls.py
+++ b/gateway/syscalls.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import os
 import select
@@ -89,7 +90,8 @@
     """Have the close of an open connection reset it: the kernel drops what it has not sent (SO_LINGER, socket(7))."""
     sock = transport.get_extra_info("socket")
     if sock is not None:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        with contextlib.suppress(OSError):   # the connection is closed all the same
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
 MAX_READ_BYTES = 28 * 1024
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -482,7 +482,9 @@
 
     def has_arrived(self) -> bool:
         """Whether the host's machine has confirmed the request's last byte; makes a system call until it has."""
-        if self.written and not self._has_arrived and self._is_open():
+        if not self.written:   # it may still wait for the connection, whose previous request has arrived
+            return False
+        if not self._has_arrived and self._is_open():
             self._has_arrived = not unconfirmed_bytes(self._fd)
         return self._has_arrived
 
--- a/tests/test_unsent_request.py
+++ b/tests/test_unsent_request.py
@@ -225,6 +225,22 @@
     run_scenario(scenario)
 
 
+def test_a_request_that_waits_for_its_connection_has_not_arrived() -> None:
+    """Guards against taking the arrival of a connection's previous request for that of the next one."""
+    async def scenario() -> None:
+        bench, host = UpstreamHarness(), await FakeHost(response=None).start()
+        bench.set_host(host.address)
+        first, result = bench.start()
+        seen = await host.received.get()
+        await wait_until(first.has_arrived)
+        seen.respond()
+        assert (await result)[0] is Outcome.OK
+        second, result = bench.start()   # the connection is not reused yet
+        assert second.connection is not None and not second.has_arrived()
+        second.connection.abandon(Outcome.CANCELLED)
+    run_scenario(scenario)
+
+
 def test_a_connection_whose_host_answers_before_it_has_the_request_is_not_reused() -> None:
     """Guards against a request that waits behind the rest of an upload which its host does not read."""
     async def scenario() -> None:
