--- a/gateway/program.py
+++ b/gateway/program.py
@@ -477,24 +477,28 @@
         if now > self._fail_requests_at_ns:
             self.server.shut_down()
             self.core.fail_all()
-        in_progress = self.server.responses_in_progress
-        if in_progress:
-            self._exit_at_ns = max(self._exit_at_ns, now + CLIENT_CLOSE_TIMEOUT_NS)
-            if now > self._fail_requests_at_ns + CLIENT_CLOSE_TIMEOUT_NS:
-                self._detach(in_progress)
+            self._wait_for_responses(now)
         accepting = self._listener is not None and self._listener.has_pending
         if now > self._exit_at_ns or not (self.server.connection_count or accepting):
             self._exit()
         else:
             self.timers.after(EXIT_CHECK_INTERVAL_NS, self._exit_when_idle, None)
 
-    def _detach(self, in_progress: int) -> None:
+    def _wait_for_responses(self, now: int) -> None:
+        """Put the exit off while responses are in progress."""
+        in_progress = self.server.responses_in_progress
+        if not in_progress:
+            return
+        self._exit_at_ns = max(self._exit_at_ns, now + CLIENT_CLOSE_TIMEOUT_NS)
+        if not self._detached and now > self._fail_requests_at_ns + CLIENT_CLOSE_TIMEOUT_NS:
+            event(log, "shutdown_waits", responses=in_progress, since_ns=now - self._stopping_since_ns)
+            self._detach()
+
+    def _detach(self) -> None:
         """Give up all that begun responses do not need, so that it is not in the way of the next process."""
         if self._detached:
             return
         self._detached = True
-        if in_progress:
-            event(log, "shutdown_waits", responses=in_progress, since_ns=now_ns() - self._stopping_since_ns)
         self.handover.close()
         self.discovery.close()
         if self.core.peers is not None:
@@ -503,7 +507,7 @@
     def _exit(self) -> None:
         event(log, "shutdown_ends", connections=self.server.connection_count,
               since_ns=now_ns() - self._stopping_since_ns)
-        self._detach(0)
+        self._detach()
         self.admin.close()
         self.upstream.close()
         self._stopped.set()
