--- a/gateway/client_connection.py
+++ b/gateway/client_connection.py
@@ -636,8 +636,7 @@
         Where the close marks the end of the body, an orderly close would make the response look complete.
         """
         if self.transport is not None:
-            if not self.transport.is_closing():
-                reset_on_close(self.transport)
+            reset_on_close(self.transport)
             self.transport.abort()
 
     def _linger(self) -> None:
@@ -729,10 +728,7 @@
 
     def _unconfirmed_bytes(self) -> int:
         """Bytes that have been written to the kernel and that the client's machine has not confirmed."""
-        transport = self.transport
-        if transport is None or transport.is_closing():
-            return 0
-        return unconfirmed_bytes(transport.get_extra_info("socket").fileno())
+        return unconfirmed_bytes(self.transport) if self.transport is not None else 0
 
     def is_responding(self) -> bool:
         """Whether a response has begun that the client's machine does not have whole."""
--- a/gateway/syscalls.py
+++ b/gateway/syscalls.py
@@ -55,41 +55,43 @@
 
 def unread_bytes(transport: asyncio.BaseTransport) -> int | None:
     """Return how many bytes of an open connection wait unread in the kernel (FIONREAD, tcp(7)); None if unknown."""
-    try:
-        answer = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.FIONREAD, bytes(4))
-    except OSError:
-        return None
-    return int(struct.unpack("i", answer)[0])
+    return _queued_bytes(transport, termios.FIONREAD)
 
 
 SIOCOUTQNSD = 0x894B
 """The request of `ioctl` for a socket's bytes that have not been sent yet (linux/sockios.h)."""
 
 
-def unconfirmed_bytes(fd: int) -> int:
-    """Return how many written bytes of an open connection its peer's machine has not confirmed (SIOCOUTQ, tcp(7)).
+def unconfirmed_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many written bytes of a connection its peer's machine has not confirmed (SIOCOUTQ, tcp(7)).
 
-    They may have come, or may come yet, unless the connection is reset.  0 if the kernel does not tell.
+    They may have come, or may come yet, unless the connection is reset.  0 if it is closing, or the kernel does not
+    tell.
     """
-    return _queue_bytes(fd, termios.TIOCOUTQ)
+    return 0 if transport.is_closing() else _queued_bytes(transport, termios.TIOCOUTQ) or 0
 
 
-def unsent_bytes(fd: int) -> int:
-    """Return how many written bytes of an open connection the kernel has not sent; 0 if it does not tell."""
-    return _queue_bytes(fd, SIOCOUTQNSD)
+def unsent_bytes(transport: asyncio.BaseTransport) -> int:
+    """Return how many written bytes of a connection the kernel has not sent; 0 if it is closing or not told."""
+    return 0 if transport.is_closing() else _queued_bytes(transport, SIOCOUTQNSD) or 0
 
 
-def _queue_bytes(fd: int, which: int) -> int:
+def _queued_bytes(transport: asyncio.BaseTransport, request: int) -> int | None:
+    """Return the answer to an `ioctl` request for the bytes in a queue of an open connection; None if unknown."""
     try:
-        return int(struct.unpack("i", fcntl.ioctl(fd, which, bytes(4)))[0])
+        answer = fcntl.ioctl(transport.get_extra_info("socket").fileno(), request, bytes(4))
     except OSError:
-        return 0
+        return None
+    return int(struct.unpack("i", answer)[0])
 
 
 def reset_on_close(transport: asyncio.BaseTransport) -> None:
-    """Have the close of an open connection reset it: the kernel drops what it has not sent (SO_LINGER, socket(7))."""
+    """Have the close of a connection reset it: the kernel drops what it has not sent (SO_LINGER, socket(7)).
+
+    Nothing is done if it is closing already.
+    """
     sock = transport.get_extra_info("socket")
-    if sock is not None:
+    if sock is not None and not transport.is_closing():
         with contextlib.suppress(OSError):   # the connection is closed all the same
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
--- a/gateway/upstream.py
+++ b/gateway/upstream.py
@@ -484,18 +484,18 @@
         """Whether the host's machine has confirmed the request's last byte; makes a system call until it has."""
         if not self.written:   # it may still wait for the connection, whose previous request has arrived
             return False
-        if not self._has_arrived and self._is_open():
-            self._has_arrived = not unconfirmed_bytes(self._fd)
+        if not self._has_arrived and self.transport is not None and not self.transport.is_closing():
+            self._has_arrived = not unconfirmed_bytes(self.transport)
         return self._has_arrived
 
     def has_unsent(self) -> bool:
         """Whether a part of the request is still here: the host's machine takes no more for now."""
-        return not self.written or (self._is_open() and unsent_bytes(self._fd) > 0)
+        return not self.written or (self.transport is not None and unsent_bytes(self.transport) > 0)
 
     def _close(self) -> None:
         transport = self.transport
         if transport is not None:
-            if not transport.is_closing() and unconfirmed_bytes(self._fd):
+            if unconfirmed_bytes(transport):
                 reset_on_close(transport)   # else the kernel would go on sending what it holds
             transport.abort()
         else:
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -8,6 +8,8 @@
 import asyncio
 import gc
 import json
+import socket
+import struct
 import tempfile
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import AsyncExitStack
@@ -189,6 +191,11 @@
         """Write these bytes."""
         self.writer.write(data)
 
+    def reset(self) -> None:
+        """Close the connection by a reset."""
+        self.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
     async def read_response(self) -> tuple[int, dict[str, str], bytes]:
         """Read the next response: status, headers, body."""
         first, headers, body = await read_message(self.reader)
--- a/tests/test_after_response.py
+++ b/tests/test_after_response.py
@@ -10,7 +10,7 @@
 from bridgesaddle.api import HostState, ListKind, Outcome
 from tests.sockets import OK, Client, FakeHost, GatewayHarness, request, run_scenario, wait_until
 from tests.test_discovery import ROW, DiscoveryHarness
-from tests.test_long import CHUNKED, chunks, read_chunks
+from tests.test_long import CHUNKED, chunks, read_chunks, read_head
 from tests.test_upstream import UpstreamHarness
 
 FOLLOWING = {
@@ -38,7 +38,7 @@
 
 async def read_body(client: Client) -> tuple[int, bytes]:
     """Read a response with a length or in chunks: its status and its body."""
-    head = (await client.reader.readuntil(b"\r\n\r\n")).lower()
+    head = await read_head(client)
     if b"transfer-encoding: chunked" in head:
         return int(head[9:12]), await read_chunks(client.reader)
     length = int(head.partition(b"content-length: ")[2].split(b"\r\n")[0])
@@ -76,29 +76,15 @@
 def test_the_outcome_is_that_of_the_first_response(following: str, status_line: bytes, outcome: Outcome) -> None:
     """Guards against a host's error that is served as the 200 which follows it, and against a lost `never ran`."""
     async def scenario() -> None:
-        async with FakeHosts(1) as (host,):
-            harness = UpstreamHarness()
-            harness.set_host(host.address)
-            _, result = harness.start()
-            first = b"HTTP/1.1 " + status_line + b"Content-Length: 6\r\n\r\nerror\n"
-            (await host.received.get()).respond(first + FOLLOWING[following])
-            assert await result == (outcome, None)
+        harness, host = UpstreamHarness(), await FakeHost(response=None).start()
+        harness.set_host(host.address)
+        _, result = harness.start()
+        first = b"HTTP/1.1 " + status_line + b"Content-Length: 6\r\n\r\nerror\n"
+        (await host.received.get()).respond(first + FOLLOWING[following])
+        assert await result == (outcome, None)
     run_scenario(scenario)
 
 
-class FakeHosts:
-    """Hosts without a gateway, whose responses the test writes itself."""
-
-    def __init__(self, count: int) -> None:
-        self._hosts = [FakeHost(f"h{number}", response=None) for number in range(count)]
-
-    async def __aenter__(self) -> list[FakeHost]:
-        return [await host.start() for host in self._hosts]
-
-    async def __aexit__(self, *_: object) -> None:
-        await asyncio.sleep(0)
-
-
 @pytest.mark.parametrize("broken", [
     framed(b"x" * 200_000, "chunks")[:-30] + b"z\r\n" + OK,             # a bad chunk size before the end
     framed(b"x" * 200_000, "chunks")[:-9] + b"H: " + b"t" * 40_000 + b"\r\n\r\n" + OK,   # trailers that are too long
--- a/tests/test_client_has_left.py
+++ b/tests/test_client_has_left.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 import time
 
 import pytest
@@ -47,10 +45,7 @@
             await wait_until(lambda: any(host.arrivals for host in hosts))
             closed_at = time.monotonic()
             for client in clients:
-                if how == "reset":
-                    client.writer.get_extra_info("socket").setsockopt(
-                        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-                client.writer.transport.abort()
+                client.reset() if how == "reset" else client.writer.transport.abort()
             await asyncio.sleep(RECORD_S)
             late = [at - closed_at for host in hosts for at, _ in host.arrivals
                     if at > closed_at + MAX_ATTEMPT_AFTER_CLOSE_S]
--- a/tests/test_shutdown_responses.py
+++ b/tests/test_shutdown_responses.py
@@ -18,13 +18,14 @@
 from gateway.program import CLIENT_CLOSE_TIMEOUT_NS, SHUTDOWN_MARGIN_NS, SWEEP_INTERVAL_NS
 from gateway.timers import now_ns
 from tests.sockets import SETTINGS, FakeDiscovery, FakeHost, GatewayHarness, request, run_scenario, wait_until
-from tests.test_long import CHUNKED, chunks
-from tests.test_operations import OPERATOR_CONFIG, read_metrics
-from tests.test_process import connect, launch, read_log_until, write_config
+from tests.test_long import CHUNKED, chunks, read_chunks
+from tests.test_operations import OPERATOR_CONFIG, STOP_DRAIN, read_metrics
+from tests.test_process import connect, launch, read_log_until, read_operator_metrics, write_config
 from tests.test_races import SHORT_CLASSES, launch_with_short_deadlines
 
 SIZE = 12_000_000
 """More than the kernels' buffers hold."""
+BODY = bytes(range(250)) * (SIZE // 250)
 PIECE_BYTES = 600_000
 PIECE_S = 0.1
 FAILED_AFTER_S = 0.4 + SHUTDOWN_MARGIN_NS / SECOND
@@ -72,23 +73,22 @@
 
 def response(framing: str) -> bytes:
     """A long response in this framing, as a host sends it."""
-    body = bytes(range(250)) * (SIZE // 250)
     if framing == "chunks":
-        return CHUNKED + chunks(body) + b"0\r\n\r\n"
+        return CHUNKED + chunks(BODY) + b"0\r\n\r\n"
     head = b"HTTP/1.1 200 OK\r\n" if framing == "close" else b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n" % SIZE
-    return head + b"\r\n" + body
+    return head + b"\r\n" + BODY
 
 
-def dechunked(data: bytes) -> bytes:
+async def dechunked(data: bytes) -> bytes:
     """The body of a response, whose end must be there."""
     head, _, body = data.partition(b"\r\n\r\n")
     if b"transfer-encoding: chunked" not in head.lower():
         return body
-    whole = b""
-    while size := int(body[:body.index(b"\r\n")], 16):
-        start = body.index(b"\r\n") + 2
-        whole, body = whole + body[start:start + size], body[start + size + 2:]
-    assert body == b"0\r\n\r\n"
+    reader = asyncio.StreamReader()
+    reader.feed_data(body)
+    reader.feed_eof()
+    whole = await read_chunks(reader)
+    assert reader.at_eof()
     return whole
 
 
@@ -112,7 +112,7 @@
         await asking
         program.send_signal(signal.SIGTERM)
         data = await reader.read(2 * SIZE)   # up to the end of the stream
-        assert dechunked(data) == bytes(range(250)) * (SIZE // 250)
+        assert await dechunked(data) == BODY
         read_at = now_ns()
         reader.close()
         assert await program.wait() == 0
@@ -150,15 +150,16 @@
             for _ in range(2):
                 program.send_signal(getattr(signal, disturbance))
         elif disturbance == "off":
-            assert b" 409 " in await operator_call(free_port, b"POST /_lameduck/off")
+            operator = await connect(("127.0.0.1", free_port))
+            assert (await operator.fetch(STOP_DRAIN))[0] == 409
         elif disturbance == "upgrade":
             successor, _ = await launch(tmp_path / "c", EDGE_OPERATOR="127.0.0.1:0")
         else:
             watch.transport.abort()
-        while b"svc.responses_in_progress=1\n" not in await operator_call(free_port, b"GET /_vars"):
+        while (await read_operator_metrics(free_port))["svc.responses_in_progress"] != 1:
             pass   # the response to the other client is not confirmed yet
         data = await reader.read(2 * SIZE)
-        assert dechunked(data) == bytes(range(250)) * (SIZE // 250)
+        assert await dechunked(data) == BODY
         reader.close()
         await read_log_until(program, "event=shutdown_ends")
         assert await program.wait() == 0
@@ -168,15 +169,6 @@
     run_scenario(scenario)
 
 
-async def operator_call(port: int, line: bytes) -> bytes:
-    """The response to one call of an operator."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    writer.write(line + b" HTTP/1.1\r\nHost: op\r\nContent-Length: 0\r\n\r\n")
-    data = await reader.read()
-    writer.close()
-    return data
-
-
 async def host_is_silent(gateway: GatewayHarness, host_writer: asyncio.StreamWriter, reader: SlowReader) -> None:
     """The client reads all that the host has sent, which sends no more."""
     with suppress(ConnectionError):
@@ -280,7 +272,7 @@
             assert connection.write_blocked_since   # the last block is unsent
             await asyncio.sleep(3)   # the host has finished, and the client rests
             assert (await read_metrics(harness))["responses_in_progress"] == 1
-            assert dechunked(await reader.read(2 * SIZE)) == body
+            assert await dechunked(await reader.read(2 * SIZE)) == body
             reader.close()
     run_scenario(scenario)
 
--- a/tests/test_unsent_request.py
+++ b/tests/test_unsent_request.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import socket
-import struct
 from collections.abc import Callable
 from typing import Any
 
@@ -13,7 +12,7 @@
 
 from bridgesaddle.api import MS, Outcome
 from gateway.timers import now_ns
-from tests.sockets import OK, Client, FakeHost, GatewayHarness, read_message, request, run_scenario, wait_until
+from tests.sockets import OK, Client, FakeHost, GatewayHarness, request, run_scenario, wait_until
 from tests.test_long import chunks
 from tests.test_races import second_attempt
 from tests.test_upstream import UpstreamHarness
@@ -92,11 +91,6 @@
     client.writer.transport.close()
 
 
-def reset(client: Client) -> None:
-    client.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    client.writer.transport.abort()
-
-
 def end_sending(client: Client) -> None:
     client.writer.write_eof()
 
@@ -111,7 +105,7 @@
 # Sizes: in one piece with the head; in the kernel's queue; more than the kernels' queues hold.
 @pytest.mark.parametrize("size", [60_000, 300_000, 3_000_000, 9_000_000])
 @pytest.mark.parametrize("framing", ["length", "chunks"])
-@pytest.mark.parametrize("leave", [close, reset, end_sending])
+@pytest.mark.parametrize("leave", [close, Client.reset, end_sending])
 def test_no_upload_is_begun_after_its_client_has_closed(leave: Callable[[Client], None], framing: str,
                                                         size: int) -> None:
     """Guards against an upload that its host begins for nobody, as the kernel goes on sending it."""
@@ -208,19 +202,13 @@
 def test_a_retry_that_its_host_has_within_the_window_goes_on() -> None:
     """Guards against giving up a retry whose last byte has come, and is confirmed late."""
     async def scenario() -> None:
-        bench, loop = UpstreamHarness(), asyncio.get_running_loop()
-        seen: asyncio.Future[asyncio.StreamWriter] = loop.create_future()
-
-        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await read_message(reader)
-            seen.set_result(writer)
-        server = await asyncio.start_server(serve, "127.0.0.1", 0)
-        bench.set_host(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        bench, host = UpstreamHarness(), await FakeHost(response=None).start()
+        bench.set_host(host.address)
         attempt, ended = second_attempt(20 * MS)
         bench.upstream.start(attempt)
-        writer = await seen
+        seen = await host.received.get()
         await asyncio.sleep(0.3)
-        writer.write(OK)
+        seen.respond()
         assert await ended is Outcome.OK
     run_scenario(scenario)
 
